--- /dev/null
+++ b/grebedyke/benchlink/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from grebedyke.benchlink.adapter import serve
+
+sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/grebedyke/benchlink/adapter.py
@@ -0,0 +1,206 @@
+"""Turns the wire's batches into calls on dispatchers and their decisions into the wire's actions.
+
+The wire's own names end here. Decoded fields go straight into calls.
+"""
+import gc
+import traceback
+
+import orjson
+
+from grebedyke import brain, ledger
+
+OUTCOMES = {0: ledger.OK, 13: ledger.FAULT, 8: ledger.FULL, 4: ledger.TIMEOUT, 14: ledger.NO_CONNECTION,
+            10: ledger.RESET, 1: ledger.CANCELLED, 9: ledger.MOOT}
+STATES = {"healthy": "healthy", "cordoned": "draining", "deregistered": "gone"}
+EFFECTS = {"safe": ledger.IDEMPOTENT, "keyed": ledger.DEDUPLICATED, "unsafe": ledger.NON_IDEMPOTENT}
+REPORT = {"rif": "held", "q": "queued", "busy": "busy"}
+
+
+class Malformed(Exception):
+    pass
+
+
+class Unusable(Exception):
+    pass
+
+
+def tenths(ms):
+    return int(ms * 10)
+
+
+def figure(table, path, low=0.0, high=float("inf"), default=None):
+    """One number of the settings; what the rules need is named when it is missing or out of its range."""
+    value = table
+    for part in path.split("."):
+        value = value.get(part) if isinstance(value, dict) else None
+    if value is None:
+        value = default
+    if value is None:
+        raise Unusable(f"setting {path} is missing")
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not low <= value <= high:
+        raise Unusable(f"setting {path} is out of its range: {value!r}")
+    return value
+
+
+def operation(row, i, family, kinds):
+    effect = EFFECTS.get(row.get("idempotency"))
+    if effect is None:
+        raise Unusable(f"setting operations[{i}].idempotency is unknown: {row.get('idempotency')!r}")
+    group = row.get("group", "all")
+    if group not in ("all", "zone", "cell"):
+        raise Unusable(f"setting operations[{i}].group is unknown: {group!r}")
+    deduplicated = effect == ledger.DEDUPLICATED
+    stretch = (family.get("classStretch") or [])[i:i + 1] or [row.get("aimStretch") or 0.0]
+    kind = ((family.get("classKind") or [])[i:i + 1] or [-1])[0]
+    return ledger.Operation(
+        row.get("name"), effect, group, tenths(figure(row, "windowMs", 0, default=None if deduplicated else 0)),
+        tenths(figure(row, "latencyObjectiveMs", 0)), float(stretch[0]), figure(row, "billedValue", default=1.0),
+        figure(row, "overdueBilledValue", 0, default=0.0), kinds[kind] if 0 <= kind < len(kinds) else None)
+
+
+def open_dispatcher(seed, conf):
+    """Builds the parts of one instance, each from its own few settings."""
+    limits, family = conf.get("limits") or {}, conf.get("familyInfo") or {}
+    kinds = conf.get("machineTypes") or []
+    rows = conf.get("operations")
+    if not isinstance(rows, list) or not rows:
+        raise Unusable("setting operations is missing")
+    operations = {row.get("name"): operation(row, i, family, kinds) for i, row in enumerate(rows)}
+    nodes, me = int(figure(conf, "balancers", 1)), int(figure(conf, "me", 0))
+    chance = brain.Chance(seed)
+    fleet = brain.Fleet(
+        conf.get("zone"), me, nodes, figure(conf, "rules.coldFrom", 0.0, 1.0),
+        tenths(figure(conf, "rules.rampTimeMs", 0)), tenths(figure(conf, "rules.tipAfterMs", 0.1)),
+        max(min(op.objective for op in operations.values()) // 10, 10), tenths(figure(family, "progressMs", default=0)))
+    quotas = {row.get("name"): figure(row, "quotaRps", default=0.0) for row in conf.get("parties") or []}
+    return brain.Dispatcher(
+        chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), operations,
+        tenths(figure(conf, "tickMs", 0.1)), bool(limits.get("secondCopies")), bool(limits.get("mayCancel")),
+        int(figure(limits, "maxForwards", 1, default=1)),
+        tenths(figure(limits, "maxRetryAfterMs", default=0)) if limits.get("retryAfter") else 0,
+        bool(family.get("tellsStart")), conf.get("registryMode") == "ask",
+        figure(conf, "prices.crossZone", 0, default=0.0))
+
+
+def feed(host, now, name, event):
+    """One event into one dispatcher; unknown events are nothing to it."""
+    if name == "progress":
+        if event["sort"] == 1:
+            host.started(now, event["tid"], event["attempt"])
+        else:
+            host.progressed(now, event["tid"], event["attempt"], event.get("value", 0.0))
+    elif name == "attemptEnd":
+        host.ended(now, event["tid"], event["attempt"], OUTCOMES.get(event["reason"], ledger.FAULT),
+                   event.get("closed", False), report(host, event))
+    elif name == "order":
+        host.taken(now, event["tid"], event["tierClass"], event.get("realm"), tenths(event["dueMs"]),
+                   event.get("effortMs", 0.0) * 10, event.get("slots", 1))
+    elif name == "timeoutFired":
+        host.woke(now)
+    elif name == "rosterChange":
+        if event["form"] == "broken":
+            host.list_failed(now)
+        else:
+            host.listed(now, event["form"] != "patch", [
+                (row["executor"], row.get("failureDomain"), row.get("kind"), row.get("stripe"),
+                 STATES.get(row.get("availability"), "gone"), row.get("capacityHint", 1), tenths(row.get("bornMs", 0)))
+                for row in event.get("hosts") or []])
+    elif name == "vanished":
+        host.left(now, event["tid"])
+
+
+def report(host, event):
+    values = event.get("feedback")
+    return dict(zip(host.fields, values)) if values and host.fields else None
+
+
+def action(node, decision):
+    kind = decision[0]
+    if kind == "forward":
+        return {"relay": {"node": node, "tid": decision[1], "executor": decision[2], "allowForMs": decision[3] / 10}}
+    if kind == "wake":
+        return {"defer": {"node": node, "instantMs": decision[1] / 10, "cookie": 1}}
+    if kind == "cancel":
+        return {"dropAttempt": {"node": node, "tid": decision[1], "attempt": decision[2]}}
+    if kind == "throttle":
+        return {"shed": {"node": node, "tid": decision[1], "backoffMs": decision[2] / 10}}
+    if kind == "error":
+        return {"giveUp": {"node": node, "tid": decision[1]}}
+    if kind == "follow":
+        return {"follow": {"node": node, "enable": True}}
+    return {"trace": {"node": node, "noteText": decision[1]}}
+
+
+def handle(hosts, now, events):
+    """All events of a batch first, then each touched instance's decisions, in order of first mention."""
+    out, touched, dead = [], {}, {}
+    for message in events:
+        (name, event), = message.items()
+        node = event["node"]
+        touched[node] = None
+        try:
+            if name == "boot":
+                dead.pop(node, None)
+                conf = event.get("conf") or {}
+                hosts[node] = host = open_dispatcher(event.get("prng", 0), conf)
+                telemetry = conf.get("telemetry") or {}
+                free = (conf.get("familyInfo") or {}).get("reportX0") == "free slots"
+                host.fields = [REPORT.get(x, "free" if x == "x0" and free else x) for x in telemetry.get("fields") or ()]
+                host.subscribe(now)
+            elif name == "teardown":
+                hosts.pop(node, None)
+                dead.pop(node, None)
+            elif node in hosts:
+                feed(hosts[node], now, name, event)
+        except Exception as problem:
+            dead[node] = complain(node, problem)
+    for node in touched:
+        host = hosts.get(node)
+        if node in dead:
+            out.append(dead[node])
+        elif host:
+            try:
+                while (decision := host.decide(now)) is not None:
+                    out.append(action(node, decision))
+            except Exception as problem:
+                out.append(complain(node, problem))
+    return out
+
+
+def complain(node, problem):
+    if not isinstance(problem, Unusable):
+        traceback.print_exc()
+    return {"internalError": {"node": node, "noteText": f"{type(problem).__name__}: {problem}"}}
+
+
+def read(line, number):
+    try:
+        batch = orjson.loads(line)
+    except orjson.JSONDecodeError as problem:
+        raise Malformed(f"line {number}: not JSON: {problem}") from None
+    if not isinstance(batch, dict):
+        raise Malformed(f"line {number}: not an object")
+    now, events = batch.get("tMs"), batch.get("in")
+    if isinstance(now, bool) or not isinstance(now, (int, float)):
+        raise Malformed(f"line {number}: no clock in tMs")
+    if not isinstance(events, list):
+        raise Malformed(f"line {number}: no events in in")
+    for i, event in enumerate(events):
+        body = next(iter(event.values())) if isinstance(event, dict) and len(event) == 1 else None
+        if not isinstance(body, dict) or "node" not in body:
+            raise Malformed(f"line {number}: event {i} is not one name with its fields and a node")
+    return tenths(now), events
+
+
+def serve(source, sink, errors):
+    hosts = {}
+    gc.freeze()
+    try:
+        for number, line in enumerate(source, 1):
+            now, events = read(line, number)
+            sink.write(orjson.dumps({"out": handle(hosts, now, events)}) + b"\n")
+            sink.flush()
+    except Malformed as problem:
+        print(f"benchlink: {problem}", file=errors)
+        return 2
+    return 0
--- /dev/null
+++ b/grebedyke/brain.py
@@ -0,0 +1,476 @@
+"""All decisions of grebedyke: which worker gets an invocation, what is held, cut, restarted or given up.
+
+A host feeds one Dispatcher with what happens (taken, started, ended, listed, ...), then pulls decide(now)
+until it gives None. Calls, fields and decisions are defined at the top of grebedyke/ledger/__init__.py;
+docs/design.md says what follows the TAGS paper and when a departure acts.
+"""
+from bisect import insort
+from heapq import heappop, heappush
+from math import inf, log
+from zlib import crc32
+
+from grebedyke.ledger import CANCELLED, DEDUPLICATED, FAULT, FULL, IDEMPOTENT, MOOT, NON_IDEMPOTENT, OK, UNRUN
+from grebedyke.ledger import Executor, Forward, Invocation, Ring
+
+SECOND = 10_000
+
+
+class Chance:
+    """Same seed, same draws, whatever the process or the hash seed: crc32 over the seed and a counter."""
+
+    def __init__(self, seed):
+        self.seed, self.count = crc32(str(seed).encode()), 0
+
+    def draw(self):
+        # A plain counter's digits leave crc32 lumpy; an odd multiple of it spreads over all its bits.
+        self.count = (self.count + 0x9E3779B97F4A7C15) % 2 ** 64
+        return crc32(self.count.to_bytes(8, "little"), self.seed) / 2 ** 32
+
+    def pick(self, things):
+        return things[int(self.draw() * len(things))]
+
+
+class Cutoffs:
+    """Fits a Bounded Pareto to sizes and searches the cutoffs with the least modelled mean wait."""
+
+    def __init__(self, chance, nodes, refit=10 * SECOND, population=10, elite=2, generations=24):
+        self.chance, self.nodes, self.refit = chance, nodes, refit
+        self.population, self.elite, self.generations = population, elite, generations
+        self.sizes, self.capped = [], []          # finished sizes; sizes at which a job was cut
+        self.kept = self.freed = 0                # what cancels of running work were seen to do to the slot
+        self.arrivals, self.uncut = Ring(SECOND, 10), Ring(SECOND, 10)
+        self.at, self.left, self.why, self.best, self.share = 0, 0, "", None, 0.0
+
+    @staticmethod
+    def fit(sizes, capped=()):
+        """Most likely (k, p, alpha) of a Bounded Pareto; a cut job only says that it is above its cutoff."""
+        k = min(sizes)
+        p = max(max(sizes), max(capped, default=0) * 1.01, k * 1.01)
+        n, logs, over = len(sizes), sum(log(x / k) for x in sizes), [max(x / k, 1.0) for x in capped]
+
+        def likelihood(a):
+            rest = (p / k) ** -a
+            cut = sum(log(max(x ** -a - rest, 1e-12) / (1 - rest)) for x in over)
+            return n * (log(a) - log(1 - rest)) - (a + 1) * logs + cut
+        low, high = 0.02, 3.0
+        for _ in range(28):
+            left, right = low + (high - low) * 0.382, low + (high - low) * 0.618
+            if likelihood(left) < likelihood(right):
+                low = left
+            else:
+                high = right
+        return k, p, (low + high) / 2
+
+    @staticmethod
+    def moment(law, j, low, high):
+        """Integral of x^j over the density from low to high; at alpha = j the power form turns into a log."""
+        k, p, a = law
+        c = a * k ** a / (1 - (k / p) ** a)
+        if abs(a - j) < 1e-6:
+            return c * log(high / low)
+        return c * (low ** (j - a) - high ** (j - a)) / (a - j)
+
+    def score(self, law, cuts, tiers, rate, ignored=0.0, fixed=0.0):
+        """Mean wait by Pollaczek-Khinchine over the tiers' visits; inf where a tier would be overloaded.
+
+        tiers: (workers, slots times speed) of each. ignored: the share of cancels that free nothing, so that
+        a cut job runs on. fixed: the share of jobs that may not be cut and end in the first tier. What a cut
+        job ran in vain counts as its wait, since the client waits through it too.
+        """
+        edges, p = [law[0], *cuts, law[1]], law[1]
+        fixed = fixed if cuts else 0.0
+        total = before = 0.0
+        for i, (workers, power) in enumerate(tiers):
+            low, high = edges[i], edges[i + 1]
+            ends, above = self.moment(law, 0, low, high), self.moment(law, 0, high, p)
+            visit = [0.0, 0.0]
+            for j in (1, 2):
+                longer = ignored * self.moment(law, j, high, p) + (1 - ignored) * above * high ** j
+                visit[j - 1] = (1 - fixed) * (self.moment(law, j, low, high) + longer)
+                visit[j - 1] += fixed * self.moment(law, j, edges[0], p) if i == 0 else 0.0
+            load = rate * visit[0] / power if power > 0 else inf
+            if load >= 1:
+                return inf
+            before += rate * visit[1] * workers / power ** 2 / (2 * (1 - load))
+            total += before * ((1 - fixed) * ends + (fixed if i == 0 else 0.0))
+            before += high * workers / power
+        return total
+
+    def step(self, now, fleet):
+        """One generation a call, so that the search never takes a burst of the node's CPU. True: settled."""
+        self.at = self.at or now + self.refit
+        if now >= self.at:
+            self.at, total = now + self.refit, self.arrivals.total(now)
+            self.loose = self.uncut.total(now) / total if total else 1.0
+            if len(self.sizes) < 30 or self.loose > 0.99:
+                self.best = None
+                self.why = "no operation may be cut" if self.loose > 0.99 else "too few running times"
+                return True
+            self.law = self.fit(self.sizes[-400:], self.capped[-200:])
+            self.sizes, self.capped = self.sizes[-200:], self.capped[-100:]
+            ignored = self.kept / (self.kept + self.freed + 1)
+            self.model = total * self.nodes / (10 * SECOND), ignored, self.loose
+            self.share, self.left, self.found = 0.5, self.generations, (inf, [])
+            k, p, _ = self.law
+            self.pool = [[k * (p / k) ** self.chance.draw()] for _ in range(self.population)]
+        if not self.left:
+            return False
+        self.left -= 1
+        tiers = fleet.powers(self.share)
+        ranked = sorted((self.score(self.law, c, tiers, *self.model), c) for c in self.pool)
+        self.found = min(self.found, ranked[0])
+        if not self.left:
+            if self.found[0] == inf and self.share > 0.15:
+                # No stable cutoffs: a thinner top tier, down to random spread over all workers.
+                self.share, self.left = self.share / 2, self.generations
+                return False
+            plain = self.score(self.law, [], fleet.powers(0), *self.model)
+            # The model is rough: cutting must promise clearly less waiting than leaving jobs alone.
+            self.best = self.found[1] if self.found[0] < 0.8 * plain else None
+            self.why = "alpha %.2f, cut wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
+                self.law[2], self.found[0] / 10, plain / 10, self.kept, self.freed)
+            return True
+        n, self.pool = len(ranked), [c for _, c in ranked[:self.elite]]
+        while len(self.pool) < n:
+            rank = n - 1 - int((self.chance.draw() * n * n) ** 0.5)     # the paper's odds for the i-th ranked
+            self.pool.append(self.mutate(ranked[rank][1]))
+        return False
+
+    def mutate(self, cuts):
+        k, p, _ = self.law
+        i = int(self.chance.draw() * len(cuts))
+        low, high = cuts[i - 1] if i else k, cuts[i + 1] if i + 1 < len(cuts) else p
+        return cuts[:i] + [low * (high / low) ** self.chance.draw()] + cuts[i + 1:]
+
+
+class Fleet:
+    """What is known of the executors: the list, own load, credit, health, cold turns, tiers."""
+
+    def __init__(self, zone, me, nodes, cold_from, ramp, tip, quick, progress):
+        self.zone, self.me, self.nodes, self.quick, self.progress = zone, me, nodes, quick, progress
+        self.cold_from, self.ramp, self.tip = cold_from, ramp, tip
+        self.all, self.listed, self.kinds, self.share, self.hold = {}, [], {}, 0.0, {}
+        self.wait, self.pace, self.trims = 0.0, 1.0, Ring(SECOND // 10, 5)
+
+    def update(self, now, whole, rows):
+        if whole:
+            for e in self.all.values():
+                e.state = "gone"
+        for id, zone, kind, cell, state, size, born in rows:
+            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), born, now))
+            if born > e.born:      # restarted: what was known of its health is of its former life
+                e.born, e.shut, e.fails, e.full, e.credit = born, 0, 0, 0, min(e.credit, 2.0)
+            e.zone, e.kind, e.cell, e.state = zone, kind, cell, state
+        self.listed = [e for e in self.all.values() if e.state == "healthy"]
+        self.listed.sort(key=lambda e: (e.rank, e.id))
+        self.lay(self.share)
+
+    def lay(self, share):
+        """Tiers split each kind alike by hashed id: each has its part of the fast and the slow workers."""
+        self.share = share
+        for kind in {e.kind for e in self.listed}:
+            alike = [e for e in self.listed if e.kind == kind]
+            top = len(alike) - round(len(alike) * share)
+            for i, e in enumerate(alike):
+                e.tier = int(i >= max(top, 1))
+
+    def powers(self, share):
+        """(workers, slots times speed) by tier; all nodes have about this node's credit times nodes."""
+        force, rows = self.share, [[0, 0.0], [0, 0.0]]
+        self.lay(share)
+        for e in self.listed:
+            rows[e.tier][0] += 1
+            rows[e.tier][1] += max(e.credit, 1.0) * self.nodes * e.speed
+        self.lay(force)
+        return rows if share else rows[:1]
+
+    def warmth(self, e, now):
+        age = max(now - e.born, 0) if e.born else self.ramp
+        return min(1.0, self.cold_from + (1 - self.cold_from) * age / self.ramp)
+
+    def silent(self, e, now):
+        """Takes work and says nothing: hung, cut off or dead; a slow one still sends its notes."""
+        if not e.out:
+            return False
+        quiet = now - max(e.heard, next(iter(e.out.values())).sent)
+        if any(f.began for f in e.out.values()):
+            return quiet > (1.4 * self.progress if self.progress else 3 * SECOND)
+        return quiet > 6 * self.quick + 4 * self.wait + (e.floor or 0)
+
+    def ready(self, e, now):
+        if e.shut > now or e.full > now:
+            return False
+        if len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
+            return False
+        # All nodes see the same fresh executor: by turns they don't spend its budget at once (rule 4).
+        age = now - e.born
+        if e.born and age < self.ramp and age * self.nodes // self.tip % self.nodes != self.me:
+            return False
+        # Own work that waits there says that it is full now, whatever credit it had earned before.
+        late = now - self.quick - (e.floor or 0)
+        return not self.silent(e, now) and not any(not f.began and f.sent < late for f in e.out.values())
+
+    def began(self, e, now, sent):
+        """A start note is the freshest answer: work begun at once earns credit, work that waits loses it."""
+        took = now - sent
+        e.floor = took if e.floor is None else min(e.floor + 1, took)
+        wait = took - e.floor
+        e.wait += 0.3 * (wait - e.wait)
+        self.wait += 0.05 * (wait - self.wait)
+        if wait <= self.quick:
+            if len(e.out) >= e.credit - 1:
+                e.credit = min(e.credit + 1 / e.credit, 64.0)
+        elif wait > 3 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
+            # When all are slow at once the cause is not this executor: then most keep their credit.
+            e.credit, e.trimmed = max(1.0, e.credit * 0.8), now + SECOND // 2
+            self.trims.add(now)
+
+    def ran(self, e, size, time, mean):
+        """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
+        k = self.kinds.setdefault(e.kind, [0.0, 0.0])
+        k[0], k[1] = k[0] * 0.99 + size, k[1] * 0.99 + time
+        e.work, e.busy = e.work * 0.9 + size, e.busy * 0.9 + time
+        weight = 2 * mean + 1
+        e.speed = max(0.05, (e.work + weight * (k[0] + weight) / (k[1] + weight)) / (e.busy + weight))
+        self.pace += 0.02 * (e.speed - self.pace)
+
+    def failed(self, e, now, outcome):
+        if outcome == FULL:
+            e.full, e.credit = now + SECOND, max(1.0, min(e.credit, len(e.out)))
+            if all(x.full > now for x in self.listed if x.tier == e.tier):
+                self.hold[e.tier] = now + SECOND     # the design's hold: its jobs wait here, not there
+        elif outcome not in (CANCELLED, MOOT, FAULT):
+            # Written off, but tried again at a bounded, growing distance with a single forward.
+            e.fails += 1
+            e.shut, e.credit = now + min(SECOND // 4 << min(e.fails, 4), 4 * SECOND), 1.0
+
+
+class Shares:
+    """Whose traffic goes beyond its share, as far as this node can see: by its part of the tenant's quota."""
+
+    def __init__(self, quotas, nodes):
+        self.quotas, self.nodes = quotas, nodes
+        self.seen = {t: Ring(SECOND, 4) for t in quotas}
+
+    def over(self, now, tenant):
+        if tenant in self.quotas:
+            self.seen[tenant].add(now)
+            return self.seen[tenant].total(now) * self.nodes > 4.5 * self.quotas[tenant]
+        return False
+
+
+class Dispatcher:
+    """Invocations: hold, forward, cancel, answer."""
+
+    def __init__(self, chance, cutoffs, fleet, shares, operations, tick, copies, cancels, forwards, back,
+                 starts, asks, cross):
+        self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
+        self.operations, self.tick, self.copies, self.cancels = operations, tick, copies, cancels
+        self.forwards, self.back, self.starts, self.cross = forwards, back, starts, min(1.0, 4 * cross)
+        self.invs, self.held, self.drops, self.cuts = {}, [], [], []
+        self.alarm, self.flow, self.count, self.asks, self.ask_at, self.ask_fails = 0, None, 0, asks, 0, 0
+
+    def listed(self, now, whole, rows):
+        self.fleet.update(now, whole, rows)
+        self.ask_fails = 0
+
+    def subscribe(self, now):
+        """Nodes that start together ask one after the other, so that the list's service is not stampeded."""
+        if self.asks:
+            self.ask_at = now + int(SECOND * 0.3 * (self.fleet.me + self.chance.draw())) + 1
+
+    def list_failed(self, now):
+        if self.asks:
+            self.ask_fails += 1
+            self.ask_at = now + int(SECOND * min(2 ** self.ask_fails, 8) * (0.5 + self.chance.draw()) / 2)
+
+    def taken(self, now, id, operation, tenant, due, hint, slots):
+        op, fleet = self.operations[operation], self.fleet
+        size = hint or op.mean or fleet.quick
+        inv = self.invs[id] = Invocation(id, op, now, due, size, slots, self.shares.over(now, tenant))
+        spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
+        inv.latest = min(now + int(op.objective * 0.9 + spare), due - 4 * self.tick)
+        self.cutoffs.arrivals.add(now)
+        if op.effect != IDEMPOTENT or not self.cancels:
+            self.cutoffs.uncut.add(now)
+        self.hold(inv)
+
+    def hold(self, inv):
+        # Within share first, then by billed value for the time it takes; the oldest of equals.
+        self.count += 1
+        inv.key, inv.held = (inv.over, inv.latest, self.count), True
+        insort(self.held, (inv.key, inv))
+
+    def started(self, now, id, n):
+        f = self.forward(id, n)
+        if f and not f.cancelled:
+            e, best = f.tgt, self.cutoffs.best
+            e.heard, f.began, e.full, e.fails = now, now, 0, 0
+            self.fleet.began(e, now, f.sent)
+            if best and e.tier < len(best) and f.inv.op.effect == IDEMPOTENT and self.cancels:
+                self.count += 1
+                heappush(self.cuts, (now + int(best[e.tier] / e.speed), self.count, f))
+            if e.cut and f.sent < e.cut:
+                # Work that waited behind a cut job starts right after it: the cancel gave the slot back.
+                freed, e.cut = now - e.cut <= 3 * e.floor + 2 * self.tick, 0
+                self.cutoffs.freed += freed
+                self.cutoffs.kept += not freed
+
+    def progressed(self, now, id, n, share):
+        f = self.forward(id, n)
+        if f:
+            f.tgt.heard, f.began = now, f.began or now
+
+    def forward(self, id, n):
+        inv = self.invs.get(id)
+        return inv.forwards[n] if inv and n < len(inv.forwards) and not inv.forwards[n].done else None
+
+    def ended(self, now, id, n, outcome, closed, report):
+        f = self.forward(id, n)
+        if not f:
+            return
+        inv, e, fleet = f.inv, f.tgt, self.fleet
+        f.done, f.unrun = True, outcome in UNRUN
+        del e.out[id, n]
+        inv.out -= 1
+        if outcome == OK:
+            e.heard, e.fails, e.full = now, 0, 0
+            if not self.starts:
+                fleet.began(e, now, f.sent + int(inv.size / e.speed))
+            begun = f.began or f.sent + (e.floor or 0) + int(fleet.wait)
+            run = max(now - begun, 1)
+            fleet.ran(e, inv.size, run, inv.op.mean)
+            inv.op.mean += 0.05 * (run * e.speed - inv.op.mean) if inv.op.mean else run * e.speed
+            self.cutoffs.sizes.append(run * e.speed)
+        else:
+            fleet.failed(e, now, outcome)
+            if f.cut and outcome == CANCELLED:
+                self.cutoffs.capped.append(max(now - f.began, 1) * e.speed)
+                inv.tier = e.tier + 1
+        if closed:
+            self.drops += [g for g in inv.forwards if not g.done and self.cancels]
+            self.finish(inv)
+        elif not (inv.held or inv.out or inv.done):
+            if f.cut:
+                inv.latest = inv.due - 4 * self.tick - int(inv.size / fleet.pace)
+            self.hold(inv)
+
+    def left(self, now, id):
+        inv = self.invs.get(id)
+        if inv:
+            self.finish(inv)
+
+    def finish(self, inv):
+        if inv.held:
+            self.held.remove((inv.key, inv))
+            inv.held = False
+        inv.done = True
+        if not inv.out:
+            self.invs.pop(inv.id, None)
+
+    def woke(self, now):
+        if now >= self.alarm:
+            self.alarm = 0
+
+    def decide(self, now):
+        if self.flow is None:
+            self.flow = self.work(now)
+        decision = next(self.flow, None)
+        if decision is None:
+            self.flow = None
+        return decision
+
+    def work(self, now):
+        fleet = self.fleet
+        if 0 < self.ask_at <= now:
+            self.ask_at = 0
+            yield ("follow",)
+        for f in self.drops:
+            f.cancelled = True
+            yield ("cancel", f.inv.id, f.n)
+        self.drops.clear()
+        if self.cutoffs.step(now, fleet):
+            fleet.lay(self.cutoffs.share if self.cutoffs.best else 0.0)
+            yield ("note", ("cutting at %s" % [int(c / 10) for c in self.cutoffs.best] if self.cutoffs.best
+                            else "random spread") + ": " + self.cutoffs.why)
+        while self.cuts and self.cuts[0][0] <= now:
+            f = heappop(self.cuts)[2]
+            if self.pays(f, now):
+                f.cut = f.cancelled = True
+                if any(not g.began for g in f.tgt.out.values()):
+                    f.tgt.cut = now
+                yield ("cancel", f.inv.id, f.n)
+        yield from self.place(now)
+        wake = now + (4 * self.tick if self.held or self.cuts else SECOND // 10)
+        if self.ask_at:
+            wake = min(wake, max(self.ask_at, now + 1))
+        if not self.alarm or wake < self.alarm - self.tick:
+            self.alarm = wake
+            yield ("wake", wake)
+
+    def pays(self, f, now):
+        """Until cancels are known to free slots, cut only where own waiting work will tell if they do."""
+        c = self.cutoffs
+        if f.done or f.cancelled or f.inv.done or not c.best or len(f.inv.forwards) >= self.forwards:
+            return False
+        return c.freed + c.kept >= 4 or (f.tgt.cut == 0 and any(not g.began for g in f.tgt.out.values()))
+
+    def place(self, now):
+        if not self.held:
+            return
+        fleet = self.fleet
+        free = [e for e in fleet.listed if fleet.ready(e, now)]
+        for _, inv in list(self.held):
+            if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
+                yield self.give_up(inv, now)
+                continue
+            e = self.choose(inv, free, now) if free else None
+            if e is None:
+                continue
+            self.held.remove((inv.key, inv))
+            inv.held = False
+            f = Forward(inv, len(inv.forwards), e, now)
+            inv.forwards.append(f)
+            inv.out += 1
+            e.out[inv.id, f.n] = f
+            if len(e.out) >= e.credit or not fleet.ready(e, now):
+                free.remove(e)
+            yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
+
+    def allowed(self, inv, e, now):
+        """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
+        if len(inv.forwards) >= self.forwards or (inv.out and not self.copies):
+            return False
+        first = next((f for f in inv.forwards if not f.unrun), None)
+        if first is None or inv.op.effect == IDEMPOTENT:
+            return True
+        if inv.op.effect == NON_IDEMPOTENT or now + 10 * self.tick > first.sent + inv.op.window:
+            return False
+        group = inv.op.group
+        return group == "all" or (e.zone == first.tgt.zone if group == "zone" else e.cell == first.tgt.cell)
+
+    def choose(self, inv, free, now):
+        fleet = self.fleet
+        tier = min(inv.tier, 1) if self.cutoffs.best else None
+        pool = [e for e in free if (tier is None or e.tier == tier) and fleet.hold.get(e.tier, 0) <= now
+                and (inv.op.kind is None or e.kind == inv.op.kind)]
+        if inv.forwards:
+            pool = [e for e in pool if self.allowed(inv, e, now)]
+        near = [e for e in pool if e.zone == fleet.zone]
+        # Another zone costs money and time: only when waiting for one's own has used its part of the slack.
+        if near or now - inv.arrived < self.cross * (inv.latest - inv.arrived):
+            pool = near
+        if not pool:
+            return None
+        end = inv.arrived + inv.op.objective + inv.op.stretch * inv.size - now
+        pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
+        mean = sum(len(e.out) / e.credit for e in pool) / len(pool)
+        return self.chance.pick([e for e in pool if len(e.out) / e.credit <= mean + 0.2] or pool)
+
+    def give_up(self, inv, now):
+        """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
+        op = inv.op
+        free = op.effect == IDEMPOTENT or (op.effect == DEDUPLICATED and op.group == "all")
+        free = free or all(f.unrun for f in inv.forwards)
+        self.finish(inv)
+        return ("throttle", inv.id, min(self.back, SECOND // 2)) if free else ("error", inv.id)
--- /dev/null
+++ b/grebedyke/ledger/__init__.py
@@ -0,0 +1,90 @@
+"""What the dispatcher keeps books on. Plain types and the calls around them; nothing here decides.
+
+Times are whole tenths of a millisecond. Objects point to each other; ids serve only at the door.
+
+The calls a host makes on a Dispatcher (any protocol's adapter is such a host):
+
+    listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, size, born),
+                               state one of "healthy", "draining", "gone"; whole: rows replace the list
+    list_failed(now)           an ask for the list, or the subscription, failed
+    taken(now, id, operation, tenant, due, hint, slots)   an invocation; due: the client gives up then
+    started(now, id, n) / progressed(now, id, n, share)   notes on forward n of an invocation
+    ended(now, id, n, outcome, closed, report)            how a forward ended; see OUTCOMES
+    left(now, id) / woke(now)
+
+A report is a dict of "held", "queued", "busy", "free" (whatever is known), or None. After any inputs of one
+instant the host takes decide(now) until it gives None:
+
+    ("forward", inv id, executor id, time allowed)    ("cancel", inv id, n)
+    ("throttle", inv id, come back after)              ("error", inv id)
+    ("wake", at)   ("follow",)   ("note", text)
+"""
+
+IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
+# Outcomes of a forward; those in UNRUN prove that it never ran.
+OK, FAULT, FULL, TIMEOUT, NO_CONNECTION, RESET, CANCELLED, MOOT = OUTCOMES = (
+    "ok", "fault", "full", "timeout", "no connection", "reset", "cancelled", "moot")
+UNRUN = frozenset((FULL, NO_CONNECTION, MOOT))
+
+
+class Operation:
+    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean")
+
+    def __init__(self, name, effect, group, window, objective, stretch, value, late_value=0.0, kind=None):
+        self.name, self.effect, self.group, self.window = name, effect, group, window
+        self.objective, self.stretch, self.value, self.late_value = objective, stretch, value, late_value
+        self.kind, self.mean = kind, 0.0
+
+
+class Executor:
+    __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
+                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed")
+
+    def __init__(self, id, rank, born, now):
+        self.id, self.rank, self.born, self.heard, self.tier, self.out = id, rank, born, now, 0, {}
+        self.credit, self.speed, self.floor = 2.0, 1.0, None
+        self.work = self.busy = self.wait = 0.0
+        self.shut = self.fails = self.full = self.cut = self.trimmed = 0
+
+
+class Invocation:
+    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "forwards", "out", "tier", "done",
+                 "held", "key")
+
+    def __init__(self, id, op, arrived, due, size, slots, over):
+        self.id, self.op, self.arrived, self.due = id, op, arrived, due
+        self.size, self.slots, self.over, self.latest = size, slots, over, due
+        self.forwards, self.out, self.tier, self.done, self.held, self.key = [], 0, 0, False, False, None
+
+
+class Forward:
+    __slots__ = ("inv", "n", "tgt", "sent", "began", "cancelled", "done", "cut", "unrun")
+
+    def __init__(self, inv, n, tgt, sent):
+        self.inv, self.n, self.tgt, self.sent, self.began = inv, n, tgt, sent, 0
+        self.cancelled = self.done = self.cut = self.unrun = False
+
+
+class Ring:
+    """Counts over the last `spans` fixed spans of time, each bucket used again when its time is past.
+
+    >>> r = Ring(10, 3)
+    >>> r.add(5, 2); r.add(12, 1); r.total(19), r.total(30), r.total(99)
+    (3, 1, 0)
+    """
+    __slots__ = ("span", "spans", "marks", "sums")
+
+    def __init__(self, span, spans):
+        self.span, self.spans = span, spans
+        self.marks, self.sums = [-1] * spans, [0] * spans
+
+    def add(self, now, amount=1):
+        mark = now // self.span
+        i = mark % self.spans
+        if self.marks[i] != mark:
+            self.marks[i], self.sums[i] = mark, 0
+        self.sums[i] += amount
+
+    def total(self, now):
+        first = now // self.span - self.spans + 1
+        return sum(s for m, s in zip(self.marks, self.sums) if m >= first)
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,184 @@
+import os
+import random
+import subprocess
+import sys
+from math import inf, isclose, log
+
+from grebedyke import brain
+from grebedyke.ledger import CANCELLED, DEDUPLICATED, FAULT, FULL, IDEMPOTENT, NO_CONNECTION, NON_IDEMPOTENT, TIMEOUT
+
+from helpers import dispatcher, pull, rows
+
+
+def test_again_or_throttled_only_as_the_operation_allows():
+    cases = [  # effect, group, outcome, zone of the other executor, what follows at once, what follows too late
+        (IDEMPOTENT, "zone", TIMEOUT, "b", "forward", "throttle"),
+        (NON_IDEMPOTENT, "all", FULL, "b", "forward", "throttle"),
+        (NON_IDEMPOTENT, "all", NO_CONNECTION, "b", "forward", "throttle"),
+        (NON_IDEMPOTENT, "all", FAULT, "b", "error", "error"),
+        (NON_IDEMPOTENT, "all", TIMEOUT, "b", "error", "error"),
+        (DEDUPLICATED, "zone", TIMEOUT, "a", "forward", "error"),
+        (DEDUPLICATED, "zone", TIMEOUT, "b", "", "error"),   # the first executor may come back in time
+        (DEDUPLICATED, "all", TIMEOUT, "b", "forward", "throttle"),
+        (DEDUPLICATED, "zone", FULL, "b", "forward", "throttle"),
+    ]
+    for effect, group, outcome, zone, soon, late in cases:
+        for wait, wanted in ((100, soon), (40_000, late)):
+            d = dispatcher(effect, group)
+            d.listed(10, True, rows(1))
+            d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+            assert pull(d, 10)[0][:3] == ("forward", 5, 1)
+            d.listed(20, False, rows(2, zone=zone))
+            d.ended(10 + wait, 5, 0, outcome, False, None)
+            kinds = [x[0] for x in pull(d, 10 + wait)]
+            assert kinds == ([wanted] if wanted else []), (effect, group, outcome, zone, wait, kinds)
+
+
+def test_deduplicated_only_within_its_window():
+    d = dispatcher(DEDUPLICATED, "all", window=600)
+    d.listed(10, True, rows(1, 2))
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    pull(d, 10)
+    d.ended(700, 5, 0, TIMEOUT, False, None)
+    assert [x[0] for x in pull(d, 700)] != ["forward"]
+
+
+def test_one_final_answer_and_nothing_after_it():
+    d = dispatcher(back=20_000)
+    d.listed(10, True, [])
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    assert pull(d, 10) == []
+    answers = [x for t in range(100, 60_000, 100) for x in pull(d, t)]
+    assert [x[:2] for x in answers] == [("throttle", 5)] and answers[0][2] > 0
+    d.listed(60_000, True, rows(1))
+    assert pull(d, 60_000) == []
+
+
+def test_nothing_new_to_a_draining_or_absent_executor():
+    for change in ((False, rows(1, state="draining")), (False, rows(1, state="gone")), (True, rows(2))):
+        d = dispatcher()
+        d.listed(10, True, rows(1, 2))
+        d.listed(20, *change)
+        for i in range(8):
+            d.taken(30, i, "op", None, 50_000, 1_000, 1)
+        assert {x[2] for x in pull(d, 30, "forward")} == {2}
+
+
+def test_nodes_take_turns_at_a_cold_executor():
+    for now in range(10_010, 20_000, 1_000):
+        senders = 0
+        for me in range(3):
+            d = dispatcher(nodes=3, me=me)
+            d.listed(now, True, rows(1, born=10_000))
+            for i in range(9):
+                d.taken(now, i, "op", None, now + 50_000, 1_000, 1)
+            sent = len(pull(d, now, "forward"))
+            assert sent <= 1
+            senders += sent
+        assert senders == 1
+
+
+def test_all_full_holds_the_tier_for_a_second():
+    d = dispatcher()
+    d.listed(10, True, rows(1))
+    d.taken(10, 5, "op", None, 50_000, 30_000, 1)
+    pull(d, 10)
+    d.ended(20, 5, 0, FULL, False, None)
+    assert pull(d, 20) == [] and pull(d, 10_000) == []
+    assert [x[0] for x in pull(d, 10_030)] == ["forward"]
+
+
+def test_waiting_own_work_takes_credit_away():
+    d = dispatcher()      # guards against stacking work at an executor that does not start what it has
+    d.listed(10, True, rows(1))
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    assert len(pull(d, 10, "forward")) == 1
+    d.taken(1_000, 6, "op", None, 50_000, 1_000, 1)
+    assert pull(d, 1_000, "forward") == []
+    d.started(1_100, 5, 0)
+    assert len(pull(d, 1_100, "forward")) == 1
+
+
+def test_cut_restarts_a_tier_up_only_after_the_cancelled_outcome():
+    d = dispatcher()
+    d.listed(10, True, rows(1, 2, 3, 4))
+    d.cutoffs.best, d.cutoffs.freed, d.cutoffs.at = [500], 9, 10 ** 9
+    d.fleet.lay(0.5)
+    low = {e.id for e in d.fleet.listed if e.tier == 0}
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    first = pull(d, 10, "forward")[0][2]
+    assert first in low
+    d.started(20, 5, 0)
+    assert pull(d, 500) == [] and pull(d, 530) == [("cancel", 5, 0)] and pull(d, 600) == []
+    d.ended(610, 5, 0, CANCELLED, False, None)
+    again = pull(d, 610, "forward")
+    assert len(again) == 1 and again[0][2] not in low and d.cutoffs.capped
+
+
+def test_score_against_figures_worked_by_hand():
+    score, moment = brain.Cutoffs.score, brain.Cutoffs.moment
+    cutoffs = brain.Cutoffs(brain.Chance(1), 1)
+    for a in (1.0, 2.0):     # the log forms are the limits of the power forms
+        for j in (1, 2):
+            near = (moment((1, 100, a - 1e-4), j, 1, 100) + moment((1, 100, a + 1e-4), j, 1, 100)) / 2
+            assert isclose(moment((1, 100, a), j, 1, 100), near, rel_tol=1e-3)
+    assert isclose(moment((1, 100, 1.0), 1, 1, 100), log(100) / 0.99)
+    # One worker, B(1, 100, 1), load 1/2: W = lambda E[X^2] / (2 (1 - 1/2)) with E[X^2] = 100.
+    rate = 0.5 * 0.99 / log(100)
+    assert isclose(score(cutoffs, (1, 100, 1.0), [], [(1, 1.0)], rate), rate * 100, rel_tol=1e-9)
+    # Cut at 10: tier 1 sees E = (ln 10 + .9)/.99, E2 = (9 + 9)/.99; tier 2 a part 0.09/0.99 of the jobs.
+    one, two, up = (log(10) + 0.9) / 0.99, 18 / 0.99, 0.09 / 0.99
+    wait1 = rate * two / 2 / (1 - rate * one)
+    wait2 = rate * 90 / 0.99 / 2 / (1 - rate * log(10) / 0.99)
+    wanted = wait1 * (1 - up) + (wait1 + 10 + wait2) * up
+    assert isclose(score(cutoffs, (1, 100, 1.0), [10], [(1, 1.0), (1, 1.0)], rate), wanted, rel_tol=1e-9)
+    assert score(cutoffs, (1, 100, 1.0), [], [(1, 1.0)], rate * 2.1) == inf
+    kept = score(cutoffs, (1, 100, 1.0), [10], [(1, 1.0), (1, 1.0)], rate, 1.0)
+    assert kept > wanted     # cancels that free nothing cost
+
+
+def test_fit_recovers_its_law_with_and_without_cuts():
+    for alpha in (0.6, 1.0, 1.4):
+        chance = random.Random(5)
+        sizes = [(1 - chance.random() * (1 - 1000 ** -alpha)) ** (-1 / alpha) for _ in range(3000)]
+        assert abs(brain.Cutoffs.fit(sizes)[2] - alpha) < 0.1
+        below = [x for x in sizes if x <= 300] + [1000.0]
+        assert abs(brain.Cutoffs.fit(below, [300] * (len(sizes) - len(below)))[2] - alpha) < 0.1
+
+
+def test_search_keeps_its_bounds_and_turns_to_random_when_cancels_free_nothing():
+    for kept in (0, 50):
+        d = dispatcher()
+        d.listed(10, True, rows(*range(1, 9)))
+        c, chance = d.cutoffs, random.Random(3)
+        c.sizes = [100 / (1 - chance.random() * 0.999) ** 1.0 for _ in range(400)]
+        c.kept = kept
+        for _ in range(300):
+            c.arrivals.add(99_000)
+        c.step(10, d.fleet)
+        for now in range(100_010, 100_400):
+            c.step(now, d.fleet)
+            assert all(c.law[0] <= cut[0] <= c.law[1] for cut in c.pool)
+        assert (c.best is None) == bool(kept), c.why
+
+
+def test_the_list_is_asked_for_again_later_each_time():
+    d = dispatcher(asks=True)
+    d.subscribe(10)
+    now, gaps = 10, []
+    for _ in range(4):
+        start = now
+        while not pull(d, now, "follow"):
+            now += 100
+        gaps.append(now - start)
+        d.list_failed(now)
+    assert gaps[0] < 10_000 and gaps[3] > gaps[1]
+
+
+def test_same_decisions_under_any_hash_seed():
+    code = ("import sys; sys.path.insert(0, 'tests')\nfrom helpers import *\nd = dispatcher()\n"
+            "d.listed(10, True, rows(*range(9)))\n"
+            "for i in range(40): d.taken(10 + i, i, 'op', None, 50000, 900, 1); print(pull(d, 10 + i))")
+    seen = {subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": h}, check=True,
+                           capture_output=True).stdout for h in "012"}
+    assert len(seen) == 1 and b"forward" in seen.pop()
