--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -289,7 +289,7 @@
         size = hint or op.mean or fleet.quick
         inv = self.invs[id] = Invocation(id, op, now, due, size, slots, self.shares.over(now, tenant))
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
-        inv.latest = min(now + int(op.objective * 0.9 + spare), due - 4 * self.tick)
+        inv.latest = min(now + int(op.objective * 0.6 + spare), due - 4 * self.tick)
         self.cutoffs.arrivals.add(now)
         if op.effect != IDEMPOTENT or not self.cancels:
             self.cutoffs.uncut.add(now)
@@ -298,7 +298,7 @@
     def hold(self, inv):
         # Within share first, then by billed value for the time it takes; the oldest of equals.
         self.count += 1
-        inv.key, inv.held = (inv.over, inv.latest, self.count), True
+        inv.key, inv.held = (inv.over, -self.count), True
         insort(self.held, (inv.key, inv))
 
     def started(self, now, id, n):
