--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -37,14 +37,17 @@
         self.chance, self.nodes, self.refit = chance, nodes, refit
         self.population, self.elite, self.generations = population, elite, generations
         self.sizes, self.capped = [], []          # finished sizes; sizes at which a job was cut
-        self.kept = self.freed = 0                # what cancels of running work were seen to do to the slot
+        self.kept = self.freed = self.trials = 0  # what cancels of running work were seen to do to the slot
         self.arrivals, self.uncut = Ring(SECOND, 10), Ring(SECOND, 10)
         self.at, self.left, self.why, self.best, self.share = 0, 0, "", None, 0.0
 
     @staticmethod
     def fit(sizes, capped=()):
         """Most likely (k, p, alpha) of a Bounded Pareto; a cut job only says that it is above its cutoff."""
-        k = min(sizes)
+        # Times are seen by the tick: the smallest say more of the clock than of the jobs. What is left above a
+        # higher k is Bounded Pareto too, with the same alpha.
+        sizes = sorted(sizes)[len(sizes) // 20:]
+        k = sizes[0]
         p = max(max(sizes), max(capped, default=0) * 1.01, k * 1.01)
         n, logs, over = len(sizes), sum(log(x / k) for x in sizes), [max(x / k, 1.0) for x in capped]
 
@@ -110,7 +113,7 @@
             self.sizes, self.capped = self.sizes[-200:], self.capped[-100:]
             ignored = self.kept / (self.kept + self.freed + 1)
             self.model = total * self.nodes / (10 * SECOND), ignored, self.loose
-            self.share, self.left, self.found = 0.5, self.generations, (inf, [])
+            self.share, self.left, self.found, self.trials = 0.5, self.generations, (inf, []), 0
             k, p, _ = self.law
             self.pool = [[k * (p / k) ** self.chance.draw()] for _ in range(self.population)]
         if not self.left:
@@ -136,6 +139,11 @@
             self.pool.append(self.mutate(ranked[rank][1]))
         return False
 
+    def witness(self, now, freed):
+        self.freed, self.kept = self.freed + freed, self.kept + (not freed)
+        if self.freed + self.kept == 4:      # enough to score by: not a whole refit's cuts in vain
+            self.at = now
+
     def mutate(self, cuts):
         k, p, _ = self.law
         i = int(self.chance.draw() * len(cuts))
@@ -312,9 +320,8 @@
                 heappush(self.cuts, (now + int(best[e.tier] / e.speed), self.count, f))
             if e.cut and f.sent < e.cut:
                 # Work that waited behind a cut job starts right after it: the cancel gave the slot back.
-                freed, e.cut = now - e.cut <= 3 * e.floor + 2 * self.tick, 0
-                self.cutoffs.freed += freed
-                self.cutoffs.kept += not freed
+                self.cutoffs.witness(now, now - e.cut <= e.floor + 2 * self.tick)
+                e.cut = 0
 
     def progressed(self, now, id, n, share):
         f = self.forward(id, n)
@@ -413,7 +420,11 @@
         c = self.cutoffs
         if f.done or f.cancelled or f.inv.done or not c.best or len(f.inv.forwards) >= self.forwards:
             return False
-        return c.freed + c.kept >= 4 or (f.tgt.cut == 0 and any(not g.began for g in f.tgt.out.values()))
+        if c.freed + c.kept >= 4:
+            return True
+        trial = c.trials < 4 and not f.tgt.cut and any(not g.began for g in f.tgt.out.values())
+        c.trials += trial
+        return trial
 
     def place(self, now):
         if not self.held:
