--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -5,6 +5,7 @@
 docs/design.md says what follows the TAGS paper and when a departure acts.
 """
 from bisect import insort
+from collections import deque
 from heapq import heappop, heappush
 from math import inf, log
 from zlib import crc32
@@ -36,7 +37,7 @@
     def __init__(self, chance, nodes, refit=10 * SECOND, population=10, elite=2, generations=24):
         self.chance, self.nodes, self.refit = chance, nodes, refit
         self.population, self.elite, self.generations = population, elite, generations
-        self.sizes, self.capped = [], []          # finished sizes; sizes at which a job was cut
+        self.sizes, self.capped = deque(maxlen=400), deque(maxlen=200)    # finished; at which a job was cut
         self.kept = self.freed = self.trials = 0  # what cancels of running work were seen to do to the slot
         self.arrivals, self.uncut = Ring(SECOND, 10), Ring(SECOND, 10)
         self.at, self.left, self.why, self.best, self.share = 0, 0, "", None, 0.0
@@ -44,8 +45,7 @@
     @staticmethod
     def fit(sizes, capped=()):
         """Most likely (k, p, alpha) of a Bounded Pareto; a cut job only says that it is above its cutoff."""
-        # Times are seen by the tick: the smallest say more of the clock than of the jobs. What is left above a
-        # higher k is Bounded Pareto too, with the same alpha.
+        # The smallest times say more of the tick than of the jobs; above a higher k the law is the same.
         sizes = sorted(sizes)[len(sizes) // 20:]
         k = sizes[0]
         p = max(max(sizes), max(capped, default=0) * 1.01, k * 1.01)
@@ -58,10 +58,7 @@
         low, high = 0.02, 3.0
         for _ in range(28):
             left, right = low + (high - low) * 0.382, low + (high - low) * 0.618
-            if likelihood(left) < likelihood(right):
-                low = left
-            else:
-                high = right
+            low, high = (left, high) if likelihood(left) < likelihood(right) else (low, right)
         return k, p, (low + high) / 2
 
     @staticmethod
@@ -69,9 +66,7 @@
         """Integral of x^j over the density from low to high; at alpha = j the power form turns into a log."""
         k, p, a = law
         c = a * k ** a / (1 - (k / p) ** a)
-        if abs(a - j) < 1e-6:
-            return c * log(high / low)
-        return c * (low ** (j - a) - high ** (j - a)) / (a - j)
+        return c * (log(high / low) if abs(a - j) < 1e-6 else (low ** (j - a) - high ** (j - a)) / (a - j))
 
     def score(self, law, cuts, tiers, rate, ignored=0.0, fixed=0.0):
         """Mean wait by Pollaczek-Khinchine over the tiers' visits; inf where a tier would be overloaded.
@@ -109,8 +104,7 @@
                 self.best = None
                 self.why = "no operation may be cut" if self.loose > 0.99 else "too few running times"
                 return True
-            self.law = self.fit(self.sizes[-400:], self.capped[-200:])
-            self.sizes, self.capped = self.sizes[-200:], self.capped[-100:]
+            self.law = self.fit(self.sizes, self.capped)
             ignored = self.kept / (self.kept + self.freed + 1)
             self.model = total * self.nodes / (10 * SECOND), ignored, self.loose
             self.share, self.left, self.found, self.trials = 0.5, self.generations, (inf, []), 0
@@ -206,9 +200,7 @@
         return quiet > 6 * self.quick + 4 * self.wait + (e.floor or 0)
 
     def ready(self, e, now):
-        if e.shut > now or e.full > now:
-            return False
-        if len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
+        if max(e.shut, e.full) > now or len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
             return False
         # All nodes see the same fresh executor: by turns they don't spend its budget at once (rule 4).
         age = now - e.born
@@ -261,10 +253,10 @@
         self.seen = {t: Ring(SECOND, 4) for t in quotas}
 
     def over(self, now, tenant):
-        if tenant in self.quotas:
-            self.seen[tenant].add(now)
-            return self.seen[tenant].total(now) * self.nodes > 4.5 * self.quotas[tenant]
-        return False
+        if tenant not in self.quotas:
+            return False
+        self.seen[tenant].add(now)
+        return self.seen[tenant].total(now) * self.nodes > 4.5 * self.quotas[tenant]
 
 
 class Dispatcher:
@@ -297,14 +289,17 @@
         size = hint or op.mean or fleet.quick
         inv = self.invs[id] = Invocation(id, op, now, due, size, slots, self.shares.over(now, tenant))
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
-        inv.latest = min(now + int(op.objective * 0.6 + spare), due - 4 * self.tick)
+        # A client's repeat keeps its first try's client timeout: what is left of it tells when that came.
+        op.span = max(op.span, due - now)
+        inv.first = due - op.span
+        inv.latest = min(inv.first + int(op.objective * 0.6 + spare), due - 4 * self.tick)
         self.cutoffs.arrivals.add(now)
         if op.effect != IDEMPOTENT or not self.cancels:
             self.cutoffs.uncut.add(now)
         self.hold(inv)
 
     def hold(self, inv):
-        # Within share first, then by billed value for the time it takes; the oldest of equals.
+        # Within share first, then the newest: under overload the oldest first makes every answer late.
         self.count += 1
         inv.key, inv.held = (inv.over, -self.count), True
         insort(self.held, (inv.key, inv))
@@ -380,11 +375,9 @@
             self.alarm = 0
 
     def decide(self, now):
-        if self.flow is None:
-            self.flow = self.work(now)
+        self.flow = self.flow or self.work(now)
         decision = next(self.flow, None)
-        if decision is None:
-            self.flow = None
+        self.flow = self.flow if decision else None
         return decision
 
     def work(self, now):
@@ -404,8 +397,6 @@
             f = heappop(self.cuts)[2]
             if self.pays(f, now):
                 f.cut = f.cancelled = True
-                if any(not g.began for g in f.tgt.out.values()):
-                    f.tgt.cut = now
                 yield ("cancel", f.inv.id, f.n)
         yield from self.place(now)
         wake = now + (4 * self.tick if self.held or self.cuts else SECOND // 10)
@@ -417,36 +408,32 @@
 
     def pays(self, f, now):
         """Until cancels are known to free slots, cut only where own waiting work will tell if they do."""
-        c = self.cutoffs
+        c, waits = self.cutoffs, any(not g.began for g in f.tgt.out.values())
         if f.done or f.cancelled or f.inv.done or not c.best or len(f.inv.forwards) >= self.forwards:
             return False
-        if c.freed + c.kept >= 4:
-            return True
-        trial = c.trials < 4 and not f.tgt.cut and any(not g.began for g in f.tgt.out.values())
-        c.trials += trial
-        return trial
+        if c.freed + c.kept < 4:
+            if c.trials >= 4 or f.tgt.cut or not waits:
+                return False
+            c.trials += 1
+        f.tgt.cut = now if waits else f.tgt.cut
+        return True
 
     def place(self, now):
-        if not self.held:
-            return
         fleet = self.fleet
-        free = [e for e in fleet.listed if fleet.ready(e, now)]
+        free = [e for e in fleet.listed if fleet.ready(e, now)] if self.held else []
         for _, inv in list(self.held):
             if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
                 yield self.give_up(inv, now)
                 continue
             e = self.choose(inv, free, now) if free else None
-            if e is None:
-                continue
-            self.held.remove((inv.key, inv))
-            inv.held = False
-            f = Forward(inv, len(inv.forwards), e, now)
-            inv.forwards.append(f)
-            inv.out += 1
-            e.out[inv.id, f.n] = f
-            if len(e.out) >= e.credit or not fleet.ready(e, now):
-                free.remove(e)
-            yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
+            if e:
+                self.held.remove((inv.key, inv))
+                f = Forward(inv, len(inv.forwards), e, now)
+                inv.forwards.append(f)
+                inv.held, inv.out, e.out[inv.id, f.n] = False, inv.out + 1, f
+                if not fleet.ready(e, now):
+                    free.remove(e)
+                yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
 
     def allowed(self, inv, e, now):
         """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
@@ -473,7 +460,7 @@
             pool = near
         if not pool:
             return None
-        end = inv.arrived + inv.op.objective + inv.op.stretch * inv.size - now
+        end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now
         pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
         mean = sum(len(e.out) / e.credit for e in pool) / len(pool)
         return self.chance.pick([e for e in pool if len(e.out) / e.credit <= mean + 0.2] or pool)
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -28,12 +28,12 @@
 
 
 class Operation:
-    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean")
+    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean", "span")
 
     def __init__(self, name, effect, group, window, objective, stretch, value, late_value=0.0, kind=None):
         self.name, self.effect, self.group, self.window = name, effect, group, window
         self.objective, self.stretch, self.value, self.late_value = objective, stretch, value, late_value
-        self.kind, self.mean = kind, 0.0
+        self.kind, self.mean, self.span = kind, 0.0, 0
 
 
 class Executor:
@@ -48,12 +48,12 @@
 
 
 class Invocation:
-    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "forwards", "out", "tier", "done",
+    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out", "tier", "done",
                  "held", "key")
 
     def __init__(self, id, op, arrived, due, size, slots, over):
         self.id, self.op, self.arrived, self.due = id, op, arrived, due
-        self.size, self.slots, self.over, self.latest = size, slots, over, due
+        self.size, self.slots, self.over, self.latest, self.first = size, slots, over, due, arrived
         self.forwards, self.out, self.tier, self.done, self.held, self.key = [], 0, 0, False, False, None
 
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -99,6 +99,24 @@
     assert len(pull(d, 1_100, "forward")) == 1
 
 
+def test_a_repeat_has_only_the_slack_of_its_first_try():
+    d = dispatcher()      # guards against work that a client's retry asks for and that can only end late
+    d.listed(10, True, rows(1))
+    d.taken(10, 5, "op", None, 50_010, 1_000, 1)
+    assert [x[0] for x in pull(d, 10)] == ["forward"]
+    d.taken(20_000, 6, "op", None, 50_010, 1_000, 1)
+    assert [x[0] for x in pull(d, 20_000)] == ["throttle"]
+
+
+def test_newest_first():
+    d = dispatcher()      # guards against oldest first, by which every answer is late under overload
+    d.listed(10, True, [])
+    for i in range(3):
+        d.taken(10 + i, i, "op", None, 50_000, 1_000, 1)
+    d.listed(20, True, rows(1))
+    assert [x[1] for x in pull(d, 20, "forward")] == [2, 1]
+
+
 def test_cut_restarts_a_tier_up_only_after_the_cancelled_outcome():
     d = dispatcher()
     d.listed(10, True, rows(1, 2, 3, 4))
