--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -219,11 +219,14 @@
         self.wait += 0.05 * (wait - self.wait)
         if wait <= self.quick:
             if len(e.out) >= e.credit - 1:
-                e.credit = min(e.credit + 1 / e.credit, 64.0)
+                e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
         elif wait > 3 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
-            e.credit, e.trimmed = max(1.0, e.credit * 0.8), now + SECOND // 2
+            e.credit, e.trimmed = max(0.1, e.credit * 0.8), now + SECOND // 2
             self.trims.add(now)
+        if e.credit < 1:
+            # Many nodes at few slots: one forward each would be too much, so credit under one rests in between.
+            e.shut = max(e.shut, now + int(took * (1 / e.credit - 1)))
 
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
