--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -220,9 +220,9 @@
         if wait <= self.quick:
             if len(e.out) >= e.credit - 1:
                 e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
-        elif wait > 3 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
+        elif wait > 2 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
-            e.credit, e.trimmed = max(0.1, e.credit * 0.8), now + SECOND // 2
+            e.credit, e.trimmed = max(0.1, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
             self.trims.add(now)
         if e.credit < 1:
             # Many nodes at few slots: one forward each would be too much, so credit under one rests in between.
