--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -7,6 +7,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import islice
 from math import inf, log
 from zlib import crc32
 
@@ -202,9 +203,10 @@
     def ready(self, e, now):
         if max(e.shut, e.full) > now or len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
             return False
-        # All nodes see the same fresh executor: by turns they don't spend its budget at once (rule 4).
+        # All nodes see the same fresh executor: by turns they don't spend its budget at once (rule 4), until
+        # half the stated warming time, when what it can do is well above its cold share.
         age = now - e.born
-        if e.born and age < self.ramp and age * self.nodes // self.tip % self.nodes != self.me:
+        if e.born and age < self.ramp / 2 and age * self.nodes // self.tip % self.nodes != self.me:
             return False
         # Own work that waits there says that it is full now, whatever credit it had earned before.
         late = now - self.quick - (e.floor or 0)
@@ -233,8 +235,8 @@
         k = self.kinds.setdefault(e.kind, [0.0, 0.0])
         k[0], k[1] = k[0] * 0.99 + size, k[1] * 0.99 + time
         e.work, e.busy = e.work * 0.9 + size, e.busy * 0.9 + time
-        weight = 2 * mean + 1
-        e.speed = max(0.05, (e.work + weight * (k[0] + weight) / (k[1] + weight)) / (e.busy + weight))
+        w = 2 * mean + 1
+        e.speed = max(0.05, (e.work + w * (k[0] + w) / (k[1] + w)) / (e.busy + w))
         self.pace += 0.02 * (e.speed - self.pace)
 
     def failed(self, e, now, outcome):
@@ -322,8 +324,7 @@
                 e.cut = 0
 
     def progressed(self, now, id, n, share):
-        f = self.forward(id, n)
-        if f:
+        if f := self.forward(id, n):
             f.tgt.heard, f.began = now, f.began or now
 
     def forward(self, id, n):
@@ -331,8 +332,7 @@
         return inv.forwards[n] if inv and n < len(inv.forwards) and not inv.forwards[n].done else None
 
     def ended(self, now, id, n, outcome, closed, report):
-        f = self.forward(id, n)
-        if not f:
+        if not (f := self.forward(id, n)):
             return
         inv, e, fleet = f.inv, f.tgt, self.fleet
         f.done, f.unrun = True, outcome in UNRUN
@@ -342,8 +342,7 @@
             e.heard, e.fails, e.full = now, 0, 0
             if not self.starts:
                 fleet.began(e, now, f.sent + int(inv.size / e.speed))
-            begun = f.began or f.sent + (e.floor or 0) + int(fleet.wait)
-            run = max(now - begun, 1)
+            run = max(now - (f.began or f.sent + (e.floor or 0) + int(fleet.wait)), 1)
             fleet.ran(e, inv.size, run, inv.op.mean)
             inv.op.mean += 0.05 * (run * e.speed - inv.op.mean) if inv.op.mean else run * e.speed
             self.cutoffs.sizes.append(run * e.speed)
@@ -361,8 +360,7 @@
             self.hold(inv)
 
     def left(self, now, id):
-        inv = self.invs.get(id)
-        if inv:
+        if inv := self.invs.get(id):
             self.finish(inv)
 
     def finish(self, inv):
@@ -423,7 +421,10 @@
 
     def place(self, now):
         fleet = self.fleet
-        free = [e for e in fleet.listed if fleet.ready(e, now)] if self.held else []
+        # From a random place in the hashed list on, and not all: a node's CPU must not grow with the fleet.
+        at = int(self.chance.draw() * len(fleet.listed)) if self.held else 0
+        ring = fleet.listed[at:] + fleet.listed[:at] if self.held else []
+        free = list(islice((e for e in ring if fleet.ready(e, now)), 24))
         for _, inv in list(self.held):
             if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
                 yield self.give_up(inv, now)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -108,6 +108,14 @@
     assert [x[0] for x in pull(d, 20_000)] == ["throttle"]
 
 
+def test_one_pull_looks_at_few_of_many_executors():
+    d, asked = dispatcher(), []      # guards against a node's CPU growing with the fleet
+    d.listed(10, True, rows(*range(300)))
+    d.fleet.ready = lambda e, now: asked.append(e) or True
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    assert len(pull(d, 10, "forward")) == 1 and len(asked) < 40
+
+
 def test_newest_first():
     d = dispatcher()      # guards against oldest first, by which every answer is late under overload
     d.listed(10, True, [])
