--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -129,9 +129,8 @@
                 self.law[2], self.found[0] / 10, plain / 10, self.kept, self.freed)
             return True
         n, self.pool = len(ranked), [c for _, c in ranked[:self.elite]]
-        while len(self.pool) < n:
-            rank = n - 1 - int((self.chance.draw() * n * n) ** 0.5)     # the paper's odds for the i-th ranked
-            self.pool.append(self.mutate(ranked[rank][1]))
+        while len(self.pool) < n:      # the paper's odds for the i-th ranked
+            self.pool.append(self.mutate(ranked[n - 1 - int((self.chance.draw() * n * n) ** 0.5)][1]))
         return False
 
     def witness(self, now, freed):
@@ -173,9 +172,8 @@
         self.share = share
         for kind in {e.kind for e in self.listed}:
             alike = [e for e in self.listed if e.kind == kind]
-            top = len(alike) - round(len(alike) * share)
             for i, e in enumerate(alike):
-                e.tier = int(i >= max(top, 1))
+                e.tier = int(i >= max(len(alike) - round(len(alike) * share), 1))
 
     def powers(self, share):
         """(workers, slots times speed) by tier; all nodes have about this node's credit times nodes."""
@@ -227,7 +225,7 @@
             e.credit, e.trimmed = max(0.1, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
             self.trims.add(now)
         if e.credit < 1:
-            # Many nodes at few slots: one forward each would be too much, so credit under one rests in between.
+            # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
             e.shut = max(e.shut, now + int(took * (1 / e.credit - 1)))
 
     def ran(self, e, size, time, mean):
@@ -355,8 +353,7 @@
             self.drops += [g for g in inv.forwards if not g.done and self.cancels]
             self.finish(inv)
         elif not (inv.held or inv.out or inv.done):
-            if f.cut:
-                inv.latest = inv.due - 4 * self.tick - int(inv.size / fleet.pace)
+            inv.latest = inv.due - 4 * self.tick - int(inv.size / fleet.pace) if f.cut else inv.latest
             self.hold(inv)
 
     def left(self, now, id):
@@ -410,14 +407,13 @@
     def pays(self, f, now):
         """Until cancels are known to free slots, cut only where own waiting work will tell if they do."""
         c, waits = self.cutoffs, any(not g.began for g in f.tgt.out.values())
+        known = c.freed + c.kept >= 4
         if f.done or f.cancelled or f.inv.done or not c.best or len(f.inv.forwards) >= self.forwards:
             return False
-        if c.freed + c.kept < 4:
-            if c.trials >= 4 or f.tgt.cut or not waits:
-                return False
-            c.trials += 1
-        f.tgt.cut = now if waits else f.tgt.cut
-        return True
+        if known or c.trials < 4 and waits and not f.tgt.cut:
+            c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
+            return True
+        return False
 
     def place(self, now):
         fleet = self.fleet
@@ -455,9 +451,7 @@
         fleet = self.fleet
         tier = min(inv.tier, 1) if self.cutoffs.best else None
         pool = [e for e in free if (tier is None or e.tier == tier) and fleet.hold.get(e.tier, 0) <= now
-                and (inv.op.kind is None or e.kind == inv.op.kind)]
-        if inv.forwards:
-            pool = [e for e in pool if self.allowed(inv, e, now)]
+                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now))]
         near = [e for e in pool if e.zone == fleet.zone]
         # Another zone costs money and time: only when waiting for one's own has used its part of the slack.
         if near or now - inv.arrived < self.cross * (inv.latest - inv.arrived):
