--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -114,7 +114,7 @@
         if not self.left:
             return False
         self.left -= 1
-        tiers = fleet.powers(self.share)
+        tiers = fleet.lay(self.share)
         ranked = sorted((self.score(self.law, c, tiers, *self.model), c) for c in self.pool)
         self.found = min(self.found, ranked[0])
         if not self.left:
@@ -122,7 +122,7 @@
                 # No stable cutoffs: a thinner top tier, down to random spread over all workers.
                 self.share, self.left = self.share / 2, self.generations
                 return False
-            plain = self.score(self.law, [], fleet.powers(0), *self.model)
+            plain = self.score(self.law, [], fleet.lay(0), *self.model)
             # The model is rough: cutting must promise clearly less waiting than leaving jobs alone.
             self.best = self.found[1] if self.found[0] < 0.8 * plain else None
             self.why = "alpha %.2f, cut wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
@@ -168,21 +168,17 @@
         self.lay(self.share)
 
     def lay(self, share):
-        """Tiers split each kind alike by hashed id: each has its part of the fast and the slow workers."""
-        self.share = share
-        for kind in {e.kind for e in self.listed}:
+        """Tiers split each kind alike by hashed id: each has its part of the fast and the slow workers.
+
+        Gives (workers, slots times speed) by tier; all nodes have about this node's credit times nodes.
+        """
+        self.share, rows = share, [[0, 0.0], [0, 0.0]]
+        for kind in dict.fromkeys(e.kind for e in self.listed):
             alike = [e for e in self.listed if e.kind == kind]
             for i, e in enumerate(alike):
                 e.tier = int(i >= max(len(alike) - round(len(alike) * share), 1))
-
-    def powers(self, share):
-        """(workers, slots times speed) by tier; all nodes have about this node's credit times nodes."""
-        force, rows = self.share, [[0, 0.0], [0, 0.0]]
-        self.lay(share)
-        for e in self.listed:
-            rows[e.tier][0] += 1
-            rows[e.tier][1] += max(e.credit, 1.0) * self.nodes * e.speed
-        self.lay(force)
+                rows[e.tier][0] += 1
+                rows[e.tier][1] += max(e.credit, 1.0) * self.nodes * e.speed
         return rows if share else rows[:1]
 
     def warmth(self, e, now):
@@ -201,8 +197,7 @@
     def ready(self, e, now):
         if max(e.shut, e.full) > now or len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
             return False
-        # All nodes see the same fresh executor: by turns they don't spend its budget at once (rule 4), until
-        # half the stated warming time, when what it can do is well above its cold share.
+        # All nodes see the same fresh executor: by turns, while it is cold, they don't overrun it (rule 4).
         age = now - e.born
         if e.born and age < self.ramp / 2 and age * self.nodes // self.tip % self.nodes != self.me:
             return False
@@ -283,14 +278,14 @@
             self.ask_at = now + int(SECOND * 0.3 * (self.fleet.me + self.chance.draw())) + 1
 
     def list_failed(self, now):
-        if self.asks:
-            self.ask_fails += 1
-            self.ask_at = now + int(SECOND * min(2 ** self.ask_fails, 8) * (0.5 + self.chance.draw()) / 2)
+        self.ask_fails += 1
+        self.ask_at = now + int(SECOND * min(2 ** self.ask_fails, 8) * (0.5 + self.chance.draw()) / 2)
 
     def taken(self, now, id, operation, tenant, due, hint, slots):
         op, fleet = self.operations[operation], self.fleet
         size = hint or op.mean or fleet.quick
         inv = self.invs[id] = Invocation(id, op, now, due, size, slots, self.shares.over(now, tenant))
+        inv.hint = hint
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
         # A client's repeat keeps its first try's client timeout: what is left of it tells when that came.
         op.span = max(op.span, due - now)
@@ -310,17 +305,21 @@
     def started(self, now, id, n):
         f = self.forward(id, n)
         if f and not f.cancelled:
-            e, best = f.tgt, self.cutoffs.best
-            e.heard, f.began, e.full, e.fails = now, now, 0, 0
+            e = f.tgt
+            e.heard, e.full, e.fails = now, 0, 0
             self.fleet.began(e, now, f.sent)
-            if best and e.tier < len(best) and f.inv.op.effect == IDEMPOTENT and self.cancels:
-                self.count += 1
-                heappush(self.cuts, (now + int(best[e.tier] / e.speed), self.count, f))
+            self.clock(f, now)
             if e.cut and f.sent < e.cut:
                 # Work that waited behind a cut job starts right after it: the cancel gave the slot back.
                 self.cutoffs.witness(now, now - e.cut <= e.floor + 2 * self.tick)
                 e.cut = 0
 
+    def clock(self, f, began):
+        f.began, e, best = began, f.tgt, self.cutoffs.best
+        if best and e.tier < len(best) and f.inv.op.effect == IDEMPOTENT and self.cancels:
+            self.count += 1
+            heappush(self.cuts, (began + int(best[e.tier] / e.speed), self.count, f))
+
     def progressed(self, now, id, n, share):
         if f := self.forward(id, n):
             f.tgt.heard, f.began = now, f.began or now
@@ -338,12 +337,18 @@
         inv.out -= 1
         if outcome == OK:
             e.heard, e.fails, e.full = now, 0, 0
-            if not self.starts:
-                fleet.began(e, now, f.sent + int(inv.size / e.speed))
-            run = max(now - (f.began or f.sent + (e.floor or 0) + int(fleet.wait)), 1)
+            if not self.starts:      # nothing tells waiting from long running: two late answers in a row do
+                over = now - f.sent - int(inv.op.objective + inv.op.stretch * inv.size)
+                e.late, over = over, max(0, min(e.late, over))
+                fleet.began(e, now, now - over)
+            run = max(now - (f.began or f.sent), 1)
             fleet.ran(e, inv.size, run, inv.op.mean)
-            inv.op.mean += 0.05 * (run * e.speed - inv.op.mean) if inv.op.mean else run * e.speed
-            self.cutoffs.sizes.append(run * e.speed)
+            # Without hints a size is the running time at the fleet's mean speed: else both drift together.
+            size = run * e.speed / (1.0 if inv.hint else fleet.pace)
+            # Without start notes it holds waits too and may rise but slowly: a queue must not pass for work.
+            mean = inv.op.mean or size
+            inv.op.mean = mean + (0.05 if self.starts or size < mean else 0.01) * (size - mean)
+            self.cutoffs.sizes.append(size)
         else:
             fleet.failed(e, now, outcome)
             if f.cut and outcome == CANCELLED:
@@ -369,13 +374,12 @@
             self.invs.pop(inv.id, None)
 
     def woke(self, now):
-        if now >= self.alarm:
-            self.alarm = 0
+        self.alarm = self.alarm if now < self.alarm else 0
 
     def decide(self, now):
         self.flow = self.flow or self.work(now)
-        decision = next(self.flow, None)
-        self.flow = self.flow if decision else None
+        if (decision := next(self.flow, None)) is None:
+            self.flow = None
         return decision
 
     def work(self, now):
@@ -389,17 +393,15 @@
         self.drops.clear()
         if self.cutoffs.step(now, fleet):
             fleet.lay(self.cutoffs.share if self.cutoffs.best else 0.0)
-            yield ("note", ("cutting at %s" % [int(c / 10) for c in self.cutoffs.best] if self.cutoffs.best
-                            else "random spread") + ": " + self.cutoffs.why)
+            best = "cutting at %s ms" % [int(c / 10) for c in self.cutoffs.best or []]
+            yield ("note", (best if self.cutoffs.best else "random spread") + ": " + self.cutoffs.why)
         while self.cuts and self.cuts[0][0] <= now:
             f = heappop(self.cuts)[2]
             if self.pays(f, now):
                 f.cut = f.cancelled = True
                 yield ("cancel", f.inv.id, f.n)
         yield from self.place(now)
-        wake = now + (4 * self.tick if self.held or self.cuts else SECOND // 10)
-        if self.ask_at:
-            wake = min(wake, max(self.ask_at, now + 1))
+        wake = min(now + (4 * self.tick if self.held or self.cuts else SECOND // 10), self.ask_at or inf)
         if not self.alarm or wake < self.alarm - self.tick:
             self.alarm = wake
             yield ("wake", wake)
@@ -407,19 +409,18 @@
     def pays(self, f, now):
         """Until cancels are known to free slots, cut only where own waiting work will tell if they do."""
         c, waits = self.cutoffs, any(not g.began for g in f.tgt.out.values())
-        known = c.freed + c.kept >= 4
-        if f.done or f.cancelled or f.inv.done or not c.best or len(f.inv.forwards) >= self.forwards:
+        known, over = c.freed + c.kept >= 4, f.done or f.cancelled or f.inv.done or not c.best
+        trial = c.trials < 4 and waits and not f.tgt.cut
+        if over or len(f.inv.forwards) >= self.forwards or not (known or trial):
             return False
-        if known or c.trials < 4 and waits and not f.tgt.cut:
-            c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
-            return True
-        return False
+        c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
+        return True
 
     def place(self, now):
         fleet = self.fleet
         # From a random place in the hashed list on, and not all: a node's CPU must not grow with the fleet.
         at = int(self.chance.draw() * len(fleet.listed)) if self.held else 0
-        ring = fleet.listed[at:] + fleet.listed[:at] if self.held else []
+        ring = fleet.listed[at:] + fleet.listed[:at] if self.held else ()
         free = list(islice((e for e in ring if fleet.ready(e, now)), 24))
         for _, inv in list(self.held):
             if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
@@ -431,6 +432,8 @@
                 f = Forward(inv, len(inv.forwards), e, now)
                 inv.forwards.append(f)
                 inv.held, inv.out, e.out[inv.id, f.n] = False, inv.out + 1, f
+                if not self.starts:      # the design's second clock: the send plus the modelled wait
+                    self.clock(f, now + int(fleet.wait))
                 if not fleet.ready(e, now):
                     free.remove(e)
                 yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -38,20 +38,18 @@
 
 class Executor:
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
-                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed",
-                 "others", "seen", "slots")
+                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "late")
 
     def __init__(self, id, rank, born, now):
         self.id, self.rank, self.born, self.heard, self.tier, self.out = id, rank, born, now, 0, {}
         self.credit, self.speed, self.floor = 2.0, 1.0, None
         self.work = self.busy = self.wait = 0.0
-        self.shut = self.fails = self.full = self.cut = self.trimmed = self.seen = 0
-        self.others, self.slots = 0.0, 1.0
+        self.shut = self.fails = self.full = self.cut = self.trimmed = self.late = 0
 
 
 class Invocation:
     __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out", "tier", "done",
-                 "held", "key")
+                 "held", "key", "hint")
 
     def __init__(self, id, op, arrived, due, size, slots, over):
         self.id, self.op, self.arrived, self.due = id, op, arrived, due
