--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -195,7 +195,7 @@
         return quiet > 6 * self.quick + 4 * self.wait + (e.floor or 0)
 
     def ready(self, e, now):
-        if max(e.shut, e.full) > now or len(e.out) >= max(1.0, e.credit * self.warmth(e, now)):
+        if max(e.shut, e.full) > now or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
         # All nodes see the same fresh executor: by turns, while it is cold, they don't overrun it (rule 4).
         age = now - e.born
@@ -213,7 +213,7 @@
         e.wait += 0.3 * (wait - e.wait)
         self.wait += 0.05 * (wait - self.wait)
         if wait <= self.quick:
-            if len(e.out) >= e.credit - 1:
+            if e.used >= e.credit - 1:
                 e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
         elif wait > 2 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
@@ -234,7 +234,7 @@
 
     def failed(self, e, now, outcome):
         if outcome == FULL:
-            e.full, e.credit = now + SECOND, max(1.0, min(e.credit, len(e.out)))
+            e.full, e.credit = now + SECOND, max(1.0, min(e.credit, e.used))
             if all(x.full > now for x in self.listed if x.tier == e.tier):
                 self.hold[e.tier] = now + SECOND     # the design's hold: its jobs wait here, not there
         elif outcome not in (CANCELLED, MOOT, FAULT):
@@ -334,7 +334,7 @@
         inv, e, fleet = f.inv, f.tgt, self.fleet
         f.done, f.unrun = True, outcome in UNRUN
         del e.out[id, n]
-        inv.out -= 1
+        inv.out, e.used = inv.out - 1, e.used - inv.slots
         if outcome == OK:
             e.heard, e.fails, e.full = now, 0, 0
             if not self.starts:      # nothing tells waiting from long running: two late answers in a row do
@@ -431,7 +431,7 @@
                 self.held.remove((inv.key, inv))
                 f = Forward(inv, len(inv.forwards), e, now)
                 inv.forwards.append(f)
-                inv.held, inv.out, e.out[inv.id, f.n] = False, inv.out + 1, f
+                inv.held, inv.out, e.out[inv.id, f.n], e.used = False, inv.out + 1, f, e.used + inv.slots
                 if not self.starts:      # the design's second clock: the send plus the modelled wait
                     self.clock(f, now + int(fleet.wait))
                 if not fleet.ready(e, now):
@@ -463,8 +463,8 @@
             return None
         end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now
         pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
-        mean = sum(len(e.out) / e.credit for e in pool) / len(pool)
-        return self.chance.pick([e for e in pool if len(e.out) / e.credit <= mean + 0.2] or pool)
+        mean = sum(e.used / e.credit for e in pool) / len(pool)
+        return self.chance.pick([e for e in pool if e.used / e.credit <= mean + 0.2] or pool)
 
     def give_up(self, inv, now):
         """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -38,13 +38,13 @@
 
 class Executor:
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
-                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "late")
+                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "late", "used")
 
     def __init__(self, id, rank, born, now):
         self.id, self.rank, self.born, self.heard, self.tier, self.out = id, rank, born, now, 0, {}
         self.credit, self.speed, self.floor = 2.0, 1.0, None
         self.work = self.busy = self.wait = 0.0
-        self.shut = self.fails = self.full = self.cut = self.trimmed = self.late = 0
+        self.shut = self.fails = self.full = self.cut = self.trimmed = self.late = self.used = 0
 
 
 class Invocation:
