--- a/grebedyke/benchlink/adapter.py
+++ b/grebedyke/benchlink/adapter.py
@@ -13,7 +13,6 @@
             10: ledger.RESET, 1: ledger.CANCELLED, 9: ledger.MOOT}
 STATES = {"healthy": "healthy", "cordoned": "draining", "deregistered": "gone"}
 EFFECTS = {"safe": ledger.IDEMPOTENT, "keyed": ledger.DEDUPLICATED, "unsafe": ledger.NON_IDEMPOTENT}
-REPORT = {"rif": "held", "q": "queued", "busy": "busy"}
 
 
 class Malformed(Exception):
@@ -66,7 +65,10 @@
     if not isinstance(rows, list) or not rows:
         raise Unusable("setting operations is missing")
     operations = {row.get("name"): operation(row, i, family, kinds) for i, row in enumerate(rows)}
-    nodes, me = int(figure(conf, "balancers", 1)), int(figure(conf, "me", 0))
+    nodes = int(figure(conf, "balancers", 1))
+    me = int(figure(conf, "me", 0, nodes - 1))
+    for rule, low in (("drainGraceMs", 0), ("fallMultiple", 1)):
+        figure(conf, f"rules.{rule}", low)      # kept by stopping at once and by turns; still no run without them
     chance = brain.Chance(seed)
     fleet = brain.Fleet(
         conf.get("zone"), me, nodes, figure(conf, "rules.coldFrom", 0.0, 1.0),
@@ -88,10 +90,10 @@
         if event["sort"] == 1:
             host.started(now, event["tid"], event["attempt"])
         else:
-            host.progressed(now, event["tid"], event["attempt"], event.get("value", 0.0))
+            host.progressed(now, event["tid"], event["attempt"])
     elif name == "attemptEnd":
         host.ended(now, event["tid"], event["attempt"], OUTCOMES.get(event["reason"], ledger.FAULT),
-                   event.get("closed", False), report(host, event))
+                   event.get("closed", False))
     elif name == "order":
         host.taken(now, event["tid"], event["tierClass"], event.get("realm"), tenths(event["dueMs"]),
                    event.get("effortMs", 0.0) * 10, event.get("slots", 1))
@@ -103,17 +105,12 @@
         else:
             host.listed(now, event["form"] != "patch", [
                 (row["executor"], row.get("failureDomain"), row.get("kind"), row.get("stripe"),
-                 STATES.get(row.get("availability"), "gone"), row.get("capacityHint", 1), tenths(row.get("bornMs", 0)))
+                 STATES.get(row.get("availability"), "gone"), tenths(row.get("bornMs", 0)))
                 for row in event.get("hosts") or []])
     elif name == "vanished":
         host.left(now, event["tid"])
 
 
-def report(host, event):
-    values = event.get("feedback")
-    return dict(zip(host.fields, values)) if values and host.fields else None
-
-
 def action(node, decision):
     kind = decision[0]
     if kind == "forward":
@@ -142,11 +139,8 @@
             if name == "boot":
                 dead.pop(node, None)
                 conf = event.get("conf") or {}
-                hosts[node] = host = open_dispatcher(event.get("prng", 0), conf)
-                telemetry = conf.get("telemetry") or {}
-                free = (conf.get("familyInfo") or {}).get("reportX0") == "free slots"
-                host.fields = [REPORT.get(x, "free" if x == "x0" and free else x) for x in telemetry.get("fields") or ()]
-                host.subscribe(now)
+                hosts[node] = open_dispatcher(event.get("prng", 0), conf)
+                hosts[node].subscribe(now)
             elif name == "teardown":
                 hosts.pop(node, None)
                 dead.pop(node, None)
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -158,11 +158,12 @@
         if whole:
             for e in self.all.values():
                 e.state = "gone"
-        for id, zone, kind, cell, state, size, born in rows:
+        for id, zone, kind, cell, state, born in rows:
             e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), born, now))
             if born > e.born:      # restarted: what was known of its health is of its former life
                 e.born, e.shut, e.fails, e.full, e.credit = born, 0, 0, 0, min(e.credit, 2.0)
             e.zone, e.kind, e.cell, e.state = zone, kind, cell, state
+        self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out}
         self.listed = [e for e in self.all.values() if e.state == "healthy"]
         self.listed.sort(key=lambda e: (e.rank, e.id))
         self.lay(self.share)
@@ -320,7 +321,7 @@
             self.count += 1
             heappush(self.cuts, (began + int(best[e.tier] / e.speed), self.count, f))
 
-    def progressed(self, now, id, n, share):
+    def progressed(self, now, id, n):
         if f := self.forward(id, n):
             f.tgt.heard, f.began = now, f.began or now
 
@@ -328,7 +329,7 @@
         inv = self.invs.get(id)
         return inv.forwards[n] if inv and n < len(inv.forwards) and not inv.forwards[n].done else None
 
-    def ended(self, now, id, n, outcome, closed, report):
+    def ended(self, now, id, n, outcome, closed):
         if not (f := self.forward(id, n)):
             return
         inv, e, fleet = f.inv, f.tgt, self.fleet
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -4,16 +4,15 @@
 
 The calls a host makes on a Dispatcher (any protocol's adapter is such a host):
 
-    listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, size, born),
+    listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, born),
                                state one of "healthy", "draining", "gone"; whole: rows replace the list
     list_failed(now)           an ask for the list, or the subscription, failed
     taken(now, id, operation, tenant, due, hint, slots)   an invocation; due: the client gives up then
-    started(now, id, n) / progressed(now, id, n, share)   notes on forward n of an invocation
-    ended(now, id, n, outcome, closed, report)            how a forward ended; see OUTCOMES
-    left(now, id) / woke(now)
+    started(now, id, n) / progressed(now, id, n)      notes on forward n of an invocation
+    ended(now, id, n, outcome, closed)                how a forward ended; see OUTCOMES
+    left(now, id) / woke(now) / subscribe(now)        the client left / a wake is due / the node begins
 
-A report is a dict of "held", "queued", "busy", "free" (whatever is known), or None. After any inputs of one
-instant the host takes decide(now) until it gives None:
+After any inputs of one instant the host takes decide(now) until it gives None:
 
     ("forward", inv id, executor id, time allowed)    ("cancel", inv id, n)
     ("throttle", inv id, come back after)              ("error", inv id)
@@ -28,7 +27,8 @@
 
 
 class Operation:
-    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean", "span")
+    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean",
+                 "span")
 
     def __init__(self, name, effect, group, window, objective, stretch, value, late_value=0.0, kind=None):
         self.name, self.effect, self.group, self.window = name, effect, group, window
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,7 +14,7 @@
 
 
 def rows(*ids, zone="a", state=HEALTHY, born=0):
-    return [(i, zone, "std", 0, state, 1, born) for i in ids]
+    return [(i, zone, "std", 0, state, born) for i in ids]
 
 
 def pull(d, now, *kinds):
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -23,7 +23,8 @@
 
 
 def test_settings_that_the_rules_need_are_named():
-    for key, value in (("coldFrom", None), ("coldFrom", 1.5), ("rampTimeMs", "x"), ("tipAfterMs", 0)):
+    for key, value in (("coldFrom", None), ("coldFrom", 1.5), ("rampTimeMs", "x"), ("tipAfterMs", 0),
+                       ("fallMultiple", 0.2), ("drainGraceMs", -1)):
         conf = {**CONF, "rules": {**CONF["rules"], key: value}}
         _, replies, _ = run({"tMs": 0, "in": [{"boot": {"node": 1, "prng": 1, "conf": conf}}]})
         assert key in replies[0][0]["internalError"]["noteText"]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -29,7 +29,7 @@
             d.taken(10, 5, "op", None, 50_000, 1_000, 1)
             assert pull(d, 10)[0][:3] == ("forward", 5, 1)
             d.listed(20, False, rows(2, zone=zone))
-            d.ended(10 + wait, 5, 0, outcome, False, None)
+            d.ended(10 + wait, 5, 0, outcome, False)
             kinds = [x[0] for x in pull(d, 10 + wait)]
             assert kinds == ([wanted] if wanted else []), (effect, group, outcome, zone, wait, kinds)
 
@@ -39,7 +39,7 @@
     d.listed(10, True, rows(1, 2))
     d.taken(10, 5, "op", None, 50_000, 1_000, 1)
     pull(d, 10)
-    d.ended(700, 5, 0, TIMEOUT, False, None)
+    d.ended(700, 5, 0, TIMEOUT, False)
     assert [x[0] for x in pull(d, 700)] != ["forward"]
 
 
@@ -83,7 +83,7 @@
     d.listed(10, True, rows(1))
     d.taken(10, 5, "op", None, 50_000, 30_000, 1)
     pull(d, 10)
-    d.ended(20, 5, 0, FULL, False, None)
+    d.ended(20, 5, 0, FULL, False)
     assert pull(d, 20) == [] and pull(d, 10_000) == []
     assert [x[0] for x in pull(d, 10_030)] == ["forward"]
 
@@ -108,6 +108,43 @@
     assert [x[0] for x in pull(d, 20_000)] == ["throttle"]
 
 
+def test_late_starts_cost_credit_and_then_a_rest():
+    for late, under in ((300, False), (2_000, True)):      # guards against many nodes keeping queues at few slots
+        d = dispatcher()
+        d.listed(10, True, rows(1))
+        for i, wait in enumerate((10, late, late)):
+            now = 1_000 + 6_000 * i
+            d.taken(now, i, "op", None, now + 49_000, 1_000, 1)
+            assert len(pull(d, now, "forward")) == 1
+            d.started(now + wait, i, 0)
+            d.ended(now + wait + 500, i, 0, "ok", True)
+        e = d.fleet.all[1]
+        assert (e.credit < 1) == under and (e.shut > now + wait) == under
+
+
+def test_without_start_notes_work_does_not_pass_for_waiting():
+    d = dispatcher()      # guards against holding all work back where nothing tells that a job has begun
+    d.starts = False
+    d.listed(10, True, rows(1))
+    for i, now in enumerate((10, 1_000)):
+        d.taken(now, i, "op", None, 50_000, 1_000, 1)
+        assert len(pull(d, now, "forward")) == 1
+
+
+def test_trial_cuts_are_few_until_their_effect_is_known():
+    d = dispatcher()      # guards against cutting a whole refit long while cancels free nothing
+    d.listed(10, True, rows(1, 2))
+    d.cutoffs.best, d.cutoffs.at = [500], 10 ** 9
+    for e in d.fleet.listed:
+        e.credit = 40.0
+    for i in range(40):
+        d.taken(10, i, "op", None, 90_000, 1_000, 1)
+    sent = pull(d, 10, "forward")
+    for _, id, _, _ in sent[:20]:
+        d.started(20, id, 0)
+    assert 0 < len(pull(d, 700, "cancel")) <= 4
+
+
 def test_one_pull_looks_at_few_of_many_executors():
     d, asked = dispatcher(), []      # guards against a node's CPU growing with the fleet
     d.listed(10, True, rows(*range(300)))
@@ -136,7 +173,7 @@
     assert first in low
     d.started(20, 5, 0)
     assert pull(d, 500) == [] and pull(d, 530) == [("cancel", 5, 0)] and pull(d, 600) == []
-    d.ended(610, 5, 0, CANCELLED, False, None)
+    d.ended(610, 5, 0, CANCELLED, False)
     again = pull(d, 610, "forward")
     assert len(again) == 1 and again[0][2] not in low and d.cutoffs.capped
 
