--- a/grebedyke/benchlink/adapter.py
+++ b/grebedyke/benchlink/adapter.py
@@ -81,7 +81,7 @@
         int(figure(limits, "maxForwards", 1, default=1)),
         tenths(figure(limits, "maxRetryAfterMs", default=0)) if limits.get("retryAfter") else 0,
         bool(family.get("tellsStart")), conf.get("registryMode") == "ask",
-        figure(conf, "prices.crossZone", 0, default=0.0))
+        figure(conf, "prices.crossZone", 0, default=0.0), conf.get("billedValueBy") == "work")
 
 
 def feed(host, now, name, event):
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -262,11 +262,11 @@
     """Invocations: hold, forward, cancel, answer."""
 
     def __init__(self, chance, cutoffs, fleet, shares, operations, tick, copies, cancels, forwards, back,
-                 starts, asks, cross):
+                 starts, asks, cross, by_work):
         self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
         self.operations, self.tick, self.copies, self.cancels = operations, tick, copies, cancels
-        self.forwards, self.back, self.starts, self.cross = forwards, back, starts, min(1.0, 4 * cross)
-        self.invs, self.held, self.drops, self.cuts = {}, [], [], []
+        self.forwards, self.back, self.starts, self.cross = forwards, back, starts, cross
+        self.invs, self.held, self.drops, self.cuts, self.by_work = {}, [], [], [], by_work
         self.alarm, self.flow, self.count, self.asks, self.ask_at, self.ask_fails = 0, None, 0, asks, 0, 0
 
     def listed(self, now, whole, rows):
@@ -457,8 +457,9 @@
         pool = [e for e in free if (tier is None or e.tier == tier) and fleet.hold.get(e.tier, 0) <= now
                 and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now))]
         near = [e for e in pool if e.zone == fleet.zone]
-        # Another zone costs money and time: only when waiting for one's own has used its part of the slack.
-        if near or now - inv.arrived < self.cross * (inv.latest - inv.arrived):
+        # Crossing costs by the forward: home is waited for the longer the less there is to gain.
+        part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
+        if near or now - inv.arrived < part * (inv.latest - inv.arrived):
             pool = near
         if not pool:
             return None
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -10,7 +10,7 @@
     chance = brain.Chance(seed)
     fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 10_000, 250, progress)
     return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares({}, nodes), ops, 50, copies,
-                            cancels, 5, back, True, asks, cross)
+                            cancels, 5, back, True, asks, cross, True)
 
 
 def rows(*ids, zone="a", state=HEALTHY, born=0):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -145,6 +145,16 @@
     assert 0 < len(pull(d, 700, "cancel")) <= 4
 
 
+def test_small_work_does_not_pay_for_another_zone():
+    for size, crosses in ((400, False), (9_000, True)):      # guards against crossing for less than it costs
+        d = dispatcher(cross=0.13)
+        d.operations["op"].mean = 4_000.0
+        d.listed(10, True, rows(1, zone="b"))
+        d.taken(10, 5, "op", None, 50_000, size, 1)
+        kinds = {x[0] for now in range(10, 20_000, 100) for x in pull(d, now)}
+        assert ("forward" in kinds) == crosses
+
+
 def test_one_pull_looks_at_few_of_many_executors():
     d, asked = dispatcher(), []      # guards against a node's CPU growing with the fleet
     d.listed(10, True, rows(*range(300)))
