--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -200,7 +200,7 @@
             return False
         # All nodes see the same fresh executor: by turns, while it is cold, they don't overrun it (rule 4).
         age = now - e.born
-        if e.born and age < self.ramp / 2 and age * self.nodes // self.tip % self.nodes != self.me:
+        if e.born and age < self.ramp / 4 and age * self.nodes // self.tip % self.nodes != self.me:
             return False
         # Own work that waits there says that it is full now, whatever credit it had earned before.
         late = now - self.quick - (e.floor or 0)
