--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -11,7 +11,7 @@
 from math import inf, log
 from zlib import crc32
 
-from grebedyke.ledger import CANCELLED, DEDUPLICATED, FAULT, FULL, IDEMPOTENT, MOOT, NON_IDEMPOTENT, OK, UNRUN
+from grebedyke.ledger import CANCELLED, DEDUPLICATED, FULL, IDEMPOTENT, MOOT, NON_IDEMPOTENT, OK, UNRUN
 from grebedyke.ledger import Executor, Forward, Invocation, Ring
 
 SECOND = 10_000
@@ -238,10 +238,11 @@
             e.full, e.credit = now + SECOND, max(1.0, min(e.credit, e.used))
             if all(x.full > now for x in self.listed if x.tier == e.tier):
                 self.hold[e.tier] = now + SECOND     # the design's hold: its jobs wait here, not there
-        elif outcome not in (CANCELLED, MOOT, FAULT):
-            # Written off, but tried again at a bounded, growing distance with a single forward.
+        elif outcome not in (CANCELLED, MOOT):
+            # Written off, but tried again at a bounded, growing distance with a single forward. Errors too: an
+            # executor that fails all at once is always free, and draws the more work for it.
             e.fails += 1
-            e.shut, e.credit = now + min(SECOND // 4 << min(e.fails, 4), 4 * SECOND), 1.0
+            e.shut, e.credit = now + (SECOND // 4 << min(e.fails, 4)), 1.0
 
 
 class Shares:
@@ -307,7 +308,7 @@
         f = self.forward(id, n)
         if f and not f.cancelled:
             e = f.tgt
-            e.heard, e.full, e.fails = now, 0, 0
+            e.heard, e.full = now, 0
             self.fleet.began(e, now, f.sent)
             self.clock(f, now)
             if e.cut and f.sent < e.cut:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -155,6 +155,18 @@
         assert ("forward" in kinds) == crosses
 
 
+def test_an_executor_that_errors_at_once_draws_no_more_work():
+    d, sent = dispatcher(NON_IDEMPOTENT), 0      # guards against the black hole: errors free its slots first
+    d.listed(10, True, rows(1))
+    for i in range(100):
+        d.taken(10 + 200 * i, i, "op", None, 90_000, 1_000, 1)
+        for _, id, _, _ in pull(d, 10 + 200 * i, "forward"):
+            sent += 1
+            d.started(20 + 200 * i, id, 0)
+            d.ended(30 + 200 * i, id, 0, FAULT, False)
+    assert sent <= 5
+
+
 def test_one_pull_looks_at_few_of_many_executors():
     d, asked = dispatcher(), []      # guards against a node's CPU growing with the fleet
     d.listed(10, True, rows(*range(300)))
