--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -277,7 +277,7 @@
     def subscribe(self, now):
         """Nodes that start together ask one after the other, so that the list's service is not stampeded."""
         if self.asks:
-            self.ask_at = now + int(SECOND * 0.3 * (self.fleet.me + self.chance.draw())) + 1
+            self.ask_at = now + int(SECOND * 0.3 * (self.fleet.me % 10 + self.chance.draw())) + 1
 
     def list_failed(self, now):
         self.ask_fails += 1
