Nodes with thin evidence probe two random executors before each forward

Cause: with hundreds of nodes a node has heard nothing of most executors for seconds, so credit, waits and own load said nothing; all sent home and blindly, executors stood full of late work (tap: 64% of the forwards to reported queues of 20 and more were turned away, the rest waited 1.5 s). Change: where own work would keep under a quarter of a forward at each executor, two random ones (by size and warmth) are probed, those whose reported wait leaves the invocation late are passed over, late starts against the reports' word add to the wait, and a part crosses by how much later work starts at home.

--- a/grebedyke/benchlink/adapter.py
+++ b/grebedyke/benchlink/adapter.py
@@ -73,18 +73,26 @@
     fleet = brain.Fleet(
         conf.get("zone"), me, nodes, figure(conf, "rules.coldFrom", 0.0, 1.0),
         tenths(figure(conf, "rules.rampTimeMs", 0)), tenths(figure(conf, "rules.tipAfterMs", 0.1)),
-        max(min(op.objective for op in operations.values()) // 10, 10), tenths(figure(family, "progressMs", default=0)))
+        max(min(op.objective for op in operations.values()) // 10, 10), tenths(figure(family, "progressMs", default=0)),
+        figure(conf, "prices.crossZone", 0, default=0.0))
     quotas = {row.get("name"): figure(row, "quotaRps", default=0.0) for row in conf.get("parties") or []}
     return brain.Dispatcher(
         chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), operations,
-        tenths(figure(conf, "tickMs", 0.1)), bool(limits.get("secondCopies")), bool(limits.get("mayCancel")),
+        tenths(figure(conf, "tickMs", 0.1)), bool(limits.get("mayCancel")),
         int(figure(limits, "maxForwards", 1, default=1)),
         tenths(figure(limits, "maxRetryAfterMs", default=0)) if limits.get("retryAfter") else 0,
         bool(family.get("tellsStart")), conf.get("registryMode") == "ask",
-        figure(conf, "prices.crossZone", 0, default=0.0), conf.get("billedValueBy") == "work")
+        figure(conf, "prices.crossZone", 0, default=0.0), conf.get("billedValueBy") == "work",
+        bool(limits.get("probes")))
 
 
-def feed(host, now, name, event):
+def reported(fields, row):
+    """Free slots, work held and work waiting, as far as a load report has them."""
+    report = dict(zip(fields, row or ()))
+    return report.get("x0"), report.get("rif"), report.get("q")
+
+
+def feed(host, now, name, event, fields):
     """One event into one dispatcher; unknown events are nothing to it."""
     if name == "progress":
         if event["sort"] == 1:
@@ -97,15 +105,17 @@
     elif name == "order":
         host.taken(now, event["tid"], event["tierClass"], event.get("realm"), tenths(event["dueMs"]),
                    event.get("effortMs", 0.0) * 10, event.get("slots", 1))
-    elif name == "timeoutFired":
-        host.woke(now)
+    elif name == "pong":
+        host.probed(now, event["executor"], OUTCOMES.get(event["reason"], ledger.FAULT),
+                    *reported(fields, event.get("feedback")))
     elif name == "rosterChange":
         if event["form"] == "broken":
-            host.list_failed(now)
+            host.unlisted(now)
         else:
             host.listed(now, event["form"] != "patch", [
                 (row["executor"], row.get("failureDomain"), row.get("kind"), row.get("stripe"),
-                 STATES.get(row.get("availability"), "gone"), tenths(row.get("bornMs", 0)))
+                 STATES.get(row.get("availability"), "gone"), tenths(row.get("bornMs", 0)),
+                 row.get("capacityHint", 1))
                 for row in event.get("hosts") or []])
     elif name == "vanished":
         host.left(now, event["tid"])
@@ -115,6 +125,8 @@
     kind = decision[0]
     if kind == "forward":
         return {"relay": {"node": node, "tid": decision[1], "executor": decision[2], "allowForMs": decision[3] / 10}}
+    if kind == "probe":
+        return {"healthCheck": {"node": node, "executor": decision[1]}}
     if kind == "wake":
         return {"defer": {"node": node, "instantMs": decision[1] / 10, "cookie": 1}}
     if kind == "cancel":
@@ -128,7 +140,7 @@
     return {"trace": {"node": node, "noteText": decision[1]}}
 
 
-def handle(hosts, now, events):
+def handle(hosts, reports, now, events):
     """All events of a batch first, then each touched instance's decisions, in order of first mention."""
     out, touched, dead = [], {}, {}
     for message in events:
@@ -140,12 +152,13 @@
                 dead.pop(node, None)
                 conf = event.get("conf") or {}
                 hosts[node] = open_dispatcher(event.get("prng", 0), conf)
-                hosts[node].subscribe(now)
+                reports[node] = (conf.get("telemetry") or {}).get("fields") or []
+                hosts[node].unlisted(now)
             elif name == "teardown":
                 hosts.pop(node, None)
                 dead.pop(node, None)
             elif node in hosts:
-                feed(hosts[node], now, name, event)
+                feed(hosts[node], now, name, event, reports[node])
         except Exception as problem:
             dead[node] = complain(node, problem)
     for node in touched:
@@ -187,12 +200,12 @@
 
 
 def serve(source, sink, errors):
-    hosts = {}
+    hosts, reports = {}, {}
     gc.freeze()
     try:
         for number, line in enumerate(source, 1):
             now, events = read(line, number)
-            sink.write(orjson.dumps({"out": handle(hosts, now, events)}) + b"\n")
+            sink.write(orjson.dumps({"out": handle(hosts, reports, now, events)}) + b"\n")
             sink.flush()
     except Malformed as problem:
         print(f"benchlink: {problem}", file=errors)
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -35,12 +35,11 @@
 class Cutoffs:
     """Fits a Bounded Pareto to sizes and searches the cutoffs with the least modelled mean wait."""
 
-    def __init__(self, chance, nodes, refit=10 * SECOND, population=10, elite=2, generations=24):
-        self.chance, self.nodes, self.refit = chance, nodes, refit
-        self.population, self.elite, self.generations = population, elite, generations
+    def __init__(self, chance, nodes, refit=10 * SECOND, generations=24):
+        self.chance, self.nodes, self.refit, self.generations = chance, nodes, refit, generations
         self.sizes, self.capped = deque(maxlen=400), deque(maxlen=200)    # finished; at which a job was cut
         self.kept = self.freed = self.trials = 0  # what cancels of running work were seen to do to the slot
-        self.arrivals, self.uncut = Ring(SECOND, 10), Ring(SECOND, 10)
+        self.arrivals, self.loose = Ring(SECOND, 4), 1.0      # loose: the share that may not be cut
         self.at, self.left, self.why, self.best, self.share = 0, 0, "", None, 0.0
 
     @staticmethod
@@ -48,19 +47,12 @@
         """Most likely (k, p, alpha) of a Bounded Pareto; a cut job only says that it is above its cutoff."""
         # The smallest times say more of the tick than of the jobs; above a higher k the law is the same.
         sizes = sorted(sizes)[len(sizes) // 20:]
-        k = sizes[0]
+        k, n, a = sizes[0], len(sizes), 1.0
         p = max(max(sizes), max(capped, default=0) * 1.01, k * 1.01)
-        n, logs, over = len(sizes), sum(log(x / k) for x in sizes), [max(x / k, 1.0) for x in capped]
-
-        def likelihood(a):
-            rest = (p / k) ** -a
-            cut = sum(log(max(x ** -a - rest, 1e-12) / (1 - rest)) for x in over)
-            return n * (log(a) - log(1 - rest)) - (a + 1) * logs + cut
-        low, high = 0.02, 3.0
-        for _ in range(28):
-            left, right = low + (high - low) * 0.382, low + (high - low) * 0.618
-            low, high = (left, high) if likelihood(left) < likelihood(right) else (low, right)
-        return k, p, (low + high) / 2
+        logs = sum(log(max(x / k, 1.0)) for x in (*sizes, *capped))
+        for _ in range(30):      # where the likelihood's slope is 0: n / a = logs + n log(p/k) / ((p/k)^a - 1)
+            a = (a + min(n / (logs + n * log(p / k) / ((p / k) ** a - 1)), 3.0)) / 2
+        return k, p, a
 
     @staticmethod
     def moment(law, j, low, high):
@@ -77,7 +69,6 @@
         job ran in vain counts as its wait, since the client waits through it too.
         """
         edges, p = [law[0], *cuts, law[1]], law[1]
-        fixed = fixed if cuts else 0.0
         total = before = 0.0
         for i, (workers, power) in enumerate(tiers):
             low, high = edges[i], edges[i + 1]
@@ -99,73 +90,65 @@
         """One generation a call, so that the search never takes a burst of the node's CPU. True: settled."""
         self.at = self.at or now + self.refit
         if now >= self.at:
-            self.at, total = now + self.refit, self.arrivals.total(now)
-            self.loose = self.uncut.total(now) / total if total else 1.0
+            self.at = now + self.refit
             if len(self.sizes) < 30 or self.loose > 0.99:
                 self.best = None
-                self.why = "no operation may be cut" if self.loose > 0.99 else "too few running times"
+                self.why = "random spread: too few running times, or no operation may be cut"
                 return True
             self.law = self.fit(self.sizes, self.capped)
             ignored = self.kept / (self.kept + self.freed + 1)
-            self.model = total * self.nodes / (10 * SECOND), ignored, self.loose
-            self.share, self.left, self.found, self.trials = 0.5, self.generations, (inf, []), 0
-            k, p, _ = self.law
-            self.pool = [[k * (p / k) ** self.chance.draw()] for _ in range(self.population)]
+            self.model = self.arrivals.total(now) * self.nodes / (4 * SECOND), ignored, self.loose
+            self.share, self.left, self.trials = 0.5, self.generations, 0
+            self.pool = [self.mutate([self.law[0]]) for _ in range(10)]
         if not self.left:
             return False
         self.left -= 1
         tiers = fleet.lay(self.share)
         ranked = sorted((self.score(self.law, c, tiers, *self.model), c) for c in self.pool)
-        self.found = min(self.found, ranked[0])
         if not self.left:
-            if self.found[0] == inf and self.share > 0.15:
+            wait, cuts = ranked[0]
+            if wait == inf and self.share > 0.15:
                 # No stable cutoffs: a thinner top tier, down to random spread over all workers.
                 self.share, self.left = self.share / 2, self.generations
                 return False
             plain = self.score(self.law, [], fleet.lay(0), *self.model)
             # The model is rough: cutting must promise clearly less waiting than leaving jobs alone.
-            self.best = self.found[1] if self.found[0] < 0.8 * plain else None
-            self.why = "alpha %.2f, cut wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
-                self.law[2], self.found[0] / 10, plain / 10, self.kept, self.freed)
+            self.best = cuts if wait < 0.8 * plain else None
+            self.why = "%s: alpha %.2f, cut wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
+                "cutting at %d ms" % (cuts[0] / 10) if self.best else "random spread", self.law[2], wait / 10,
+                plain / 10, self.kept, self.freed)
             return True
-        n, self.pool = len(ranked), [c for _, c in ranked[:self.elite]]
+        n, self.pool = len(ranked), [c for _, c in ranked[:2]]      # elitism: the best two live on
         while len(self.pool) < n:      # the paper's odds for the i-th ranked
             self.pool.append(self.mutate(ranked[n - 1 - int((self.chance.draw() * n * n) ** 0.5)][1]))
         return False
 
-    def witness(self, now, freed):
-        self.freed, self.kept = self.freed + freed, self.kept + (not freed)
-        if self.freed + self.kept == 4:      # enough to score by: not a whole refit's cuts in vain
-            self.at = now
-
     def mutate(self, cuts):
-        k, p, _ = self.law
-        i = int(self.chance.draw() * len(cuts))
-        low, high = cuts[i - 1] if i else k, cuts[i + 1] if i + 1 < len(cuts) else p
+        (k, p, _), i = self.law, int(self.chance.draw() * len(cuts))
+        low, high = [k, *cuts][i], [*cuts, p][i + 1]
         return cuts[:i] + [low * (high / low) ** self.chance.draw()] + cuts[i + 1:]
 
 
 class Fleet:
     """What is known of the executors: the list, own load, credit, health, cold turns, tiers."""
 
-    def __init__(self, zone, me, nodes, cold_from, ramp, tip, quick, progress):
-        self.zone, self.me, self.nodes, self.quick, self.progress = zone, me, nodes, quick, progress
+    def __init__(self, zone, me, nodes, cold_from, ramp, tip, quick, progress, cross):
+        self.cross, self.zone, self.me, self.nodes, self.quick, self.progress = cross, zone, me, nodes, quick, progress
         self.cold_from, self.ramp, self.tip = cold_from, ramp, tip
         self.all, self.listed, self.kinds, self.share, self.hold = {}, [], {}, 0.0, {}
-        self.wait, self.pace, self.trims = 0.0, 1.0, Ring(SECOND // 10, 5)
+        self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
+        self.mean, self.slots, self.late, self.away, self.bias = 0.0, {}, [0.0, 0.0], 0.0, 0.0
 
     def update(self, now, whole, rows):
         if whole:
             for e in self.all.values():
                 e.state = "gone"
-        for id, zone, kind, cell, state, born in rows:
-            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), born, now))
-            if born > e.born:      # restarted: what was known of its health is of its former life
-                e.born, e.shut, e.fails, e.full, e.credit = born, 0, 0, 0, min(e.credit, 2.0)
-            e.zone, e.kind, e.cell, e.state = zone, kind, cell, state
-        self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out}
-        self.listed = [e for e in self.all.values() if e.state == "healthy"]
-        self.listed.sort(key=lambda e: (e.rank, e.id))
+        for id, zone, kind, cell, state, born, weight in rows:
+            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), now))
+            e.list(zone, kind, cell, state, born, weight)
+        self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out or e.asked}
+        self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: (e.rank, e.id))
+        self.top = max((e.weight for e in self.listed), default=1)
         self.lay(self.share)
 
     def lay(self, share):
@@ -173,46 +156,43 @@
 
         Gives (workers, slots times speed) by tier; all nodes have about this node's credit times nodes.
         """
-        self.share, rows = share, [[0, 0.0], [0, 0.0]]
-        for kind in dict.fromkeys(e.kind for e in self.listed):
-            alike = [e for e in self.listed if e.kind == kind]
-            for i, e in enumerate(alike):
-                e.tier = int(i >= max(len(alike) - round(len(alike) * share), 1))
-                rows[e.tier][0] += 1
-                rows[e.tier][1] += max(e.credit, 1.0) * self.nodes * e.speed
+        self.share, seen, rows = share, {}, [[0, 0.0], [0, 0.0]]
+        for e in self.listed:
+            seen[e.kind] = seen.get(e.kind, 0) + 1
+            e.tier = int(share > 0 and seen[e.kind] % round(1 / share) == 0)
+            rows[e.tier][0] += 1
+            rows[e.tier][1] += max(e.credit, 1.0) * self.nodes * e.speed
         return rows if share else rows[:1]
 
     def warmth(self, e, now):
         age = max(now - e.born, 0) if e.born else self.ramp
         return min(1.0, self.cold_from + (1 - self.cold_from) * age / self.ramp)
 
-    def silent(self, e, now):
-        """Takes work and says nothing: hung, cut off or dead; a slow one still sends its notes."""
-        if not e.out:
-            return False
-        quiet = now - max(e.heard, next(iter(e.out.values())).sent)
-        if any(f.began for f in e.out.values()):
-            return quiet > (1.4 * self.progress if self.progress else 3 * SECOND)
-        return quiet > 6 * self.quick + 4 * self.wait + (e.floor or 0)
-
     def ready(self, e, now):
         if max(e.shut, e.full) > now or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
-        # All nodes see the same fresh executor: by turns, while it is cold, they don't overrun it (rule 4).
-        age = now - e.born
-        if e.born and age < self.ramp / 4 and age * self.nodes // self.tip % self.nodes != self.me:
+        # All nodes see the same fresh executor: by turns, at first, they don't overrun it (rule 4). Four turns at
+        # most: of many nodes few have work in a short one.
+        age, turns = now - e.born, min(self.nodes, 4)
+        if e.born and age < self.ramp / 4 and age * turns // self.tip % turns != self.me % turns:
             return False
-        # Own work that waits there says that it is full now, whatever credit it had earned before.
-        late = now - self.quick - (e.floor or 0)
-        return not self.silent(e, now) and not any(not f.began and f.sent < late for f in e.out.values())
+        # Own work that waits there says that it is full now, whatever credit it had earned before. Begun work of
+        # which no note comes: hung, cut off or dead; a slow one still sends its notes.
+        notes, start = 1.4 * self.progress or 3 * SECOND, self.quick + (e.floor or 0)
+        return all(now <= (max(e.heard, f.sent) + notes if f.began else f.sent + start) for f in e.out.values())
 
-    def began(self, e, now, sent):
+    def began(self, e, now, sent, guess):
         """A start note is the freshest answer: work begun at once earns credit, work that waits loses it."""
         took = now - sent
         e.floor = took if e.floor is None else min(e.floor + 1, took)
         wait = took - e.floor
         e.wait += 0.3 * (wait - e.wait)
-        self.wait += 0.05 * (wait - self.wait)
+        # Work that came since the report makes waits longer than it said: under overload, always.
+        self.bias += 0.1 * (max(wait - guess, 0) - self.bias)
+        # How late work starts at home and abroad, as a share of the objective: what crossing would save.
+        side = e.zone != self.zone
+        self.late[side] += 0.1 * (min(wait / (10 * self.quick), 1) - self.late[side])
+        self.away = min(max(2 * (self.late[0] - self.late[1] - self.cross), 0.02), 1.0)
         if wait <= self.quick:
             if e.used >= e.credit - 1:
                 e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
@@ -224,6 +204,18 @@
             # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
             e.shut = max(e.shut, now + int(took * (1 / e.credit - 1)))
 
+    def probed(self, now, id, outcome, free, held, waiting):
+        """What other nodes send is seen here alone: the report gives the work there by its slots."""
+        e = self.all[id]
+        e.asked = 0
+        if outcome != OK:
+            return outcome != FULL and self.failed(e, now, outcome)
+        if free is not None:
+            # All slots show when one is free; else the most seen of its kind stand in.
+            slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), free and free + (held or 0))
+            e.load = 1 - free / slots + (max(held - slots, 0) if waiting is None else waiting) / slots
+            e.wait = max(0, e.load - 1 + 0.5 / slots) * self.mean / e.speed if free < 0.5 else 0
+
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
         k = self.kinds.setdefault(e.kind, [0.0, 0.0])
@@ -262,40 +254,38 @@
 class Dispatcher:
     """Invocations: hold, forward, cancel, answer."""
 
-    def __init__(self, chance, cutoffs, fleet, shares, operations, tick, copies, cancels, forwards, back,
-                 starts, asks, cross, by_work):
+    def __init__(self, chance, cutoffs, fleet, shares, operations, tick, cancels, forwards, back, starts,
+                 asks, cross, by_work, probes):
         self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
-        self.operations, self.tick, self.copies, self.cancels = operations, tick, copies, cancels
+        self.operations, self.tick, self.cancels = operations, tick, cancels
         self.forwards, self.back, self.starts, self.cross = forwards, back, starts, cross
-        self.invs, self.held, self.drops, self.cuts, self.by_work = {}, [], [], [], by_work
+        self.invs, self.held, self.cuts, self.by_work = {}, [], [], by_work
         self.alarm, self.flow, self.count, self.asks, self.ask_at, self.ask_fails = 0, None, 0, asks, 0, 0
+        self.probes, self.probed = probes, fleet.probed
 
     def listed(self, now, whole, rows):
         self.fleet.update(now, whole, rows)
         self.ask_fails = 0
 
-    def subscribe(self, now):
-        """Nodes that start together ask one after the other, so that the list's service is not stampeded."""
+    def unlisted(self, now):
+        """At start or after a failed ask: one node after the other and ever later, not to stampede the list."""
         if self.asks:
-            self.ask_at = now + int(SECOND * 0.3 * (self.fleet.me % 10 + self.chance.draw())) + 1
-
-    def list_failed(self, now):
-        self.ask_fails += 1
-        self.ask_at = now + int(SECOND * min(2 ** self.ask_fails, 8) * (0.5 + self.chance.draw()) / 2)
+            spread, self.ask_fails = min(0.3 * self.fleet.nodes, 10) * 2 ** self.ask_fails, min(self.ask_fails + 1, 3)
+            turn = self.fleet.me / self.fleet.nodes if self.ask_fails == 1 else self.chance.draw()
+            self.ask_at = now + int(SECOND * spread * (turn + 0.1 * self.chance.draw())) + 1
 
     def taken(self, now, id, operation, tenant, due, hint, slots):
         op, fleet = self.operations[operation], self.fleet
         size = hint or op.mean or fleet.quick
-        inv = self.invs[id] = Invocation(id, op, now, due, size, slots, self.shares.over(now, tenant))
-        inv.hint = hint
+        inv = self.invs[id] = Invocation(id, op, now, due, size, hint, slots, self.shares.over(now, tenant))
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
         # A client's repeat keeps its first try's client timeout: what is left of it tells when that came.
         op.span = max(op.span, due - now)
         inv.first = due - op.span
         inv.latest = min(inv.first + int(op.objective * 0.6 + spare), due - 4 * self.tick)
         self.cutoffs.arrivals.add(now)
-        if op.effect != IDEMPOTENT or not self.cancels:
-            self.cutoffs.uncut.add(now)
+        fleet.mean += 0.1 * (size - fleet.mean) if fleet.mean else size
+        self.cutoffs.loose += 0.05 * ((op.effect != IDEMPOTENT or not self.cancels) - self.cutoffs.loose)
         self.hold(inv)
 
     def hold(self, inv):
@@ -309,12 +299,14 @@
         if f and not f.cancelled:
             e = f.tgt
             e.heard, e.full = now, 0
-            self.fleet.began(e, now, f.sent)
+            self.fleet.began(e, now, f.sent, f.guess)
             self.clock(f, now)
             if e.cut and f.sent < e.cut:
                 # Work that waited behind a cut job starts right after it: the cancel gave the slot back.
-                self.cutoffs.witness(now, now - e.cut <= e.floor + 2 * self.tick)
-                e.cut = 0
+                freed, c = now - e.cut <= e.floor + 2 * self.tick, self.cutoffs
+                c.freed, c.kept, e.cut = c.freed + freed, c.kept + (not freed), 0
+                # Four are enough to score by: not a whole refit's cuts in vain.
+                c.at = now if c.freed + c.kept == 4 else c.at
 
     def clock(self, f, began):
         f.began, e, best = began, f.tgt, self.cutoffs.best
@@ -334,22 +326,14 @@
         if not (f := self.forward(id, n)):
             return
         inv, e, fleet = f.inv, f.tgt, self.fleet
-        f.done, f.unrun = True, outcome in UNRUN
-        del e.out[id, n]
-        inv.out, e.used = inv.out - 1, e.used - inv.slots
+        f.end(outcome in UNRUN)
         if outcome == OK:
             e.heard, e.fails, e.full = now, 0, 0
-            if not self.starts:      # nothing tells waiting from long running: two late answers in a row do
-                over = now - f.sent - int(inv.op.objective + inv.op.stretch * inv.size)
-                e.late, over = over, max(0, min(e.late, over))
-                fleet.began(e, now, now - over)
             run = max(now - (f.began or f.sent), 1)
             fleet.ran(e, inv.size, run, inv.op.mean)
             # Without hints a size is the running time at the fleet's mean speed: else both drift together.
             size = run * e.speed / (1.0 if inv.hint else fleet.pace)
-            # Without start notes it holds waits too and may rise but slowly: a queue must not pass for work.
-            mean = inv.op.mean or size
-            inv.op.mean = mean + (0.05 if self.starts or size < mean else 0.01) * (size - mean)
+            inv.op.mean += 0.05 * (size - inv.op.mean) if inv.op.mean else size
             self.cutoffs.sizes.append(size)
         else:
             fleet.failed(e, now, outcome)
@@ -357,7 +341,6 @@
                 self.cutoffs.capped.append(max(now - f.began, 1) * e.speed)
                 inv.tier = e.tier + 1
         if closed:
-            self.drops += [g for g in inv.forwards if not g.done and self.cancels]
             self.finish(inv)
         elif not (inv.held or inv.out or inv.done):
             inv.latest = inv.due - 4 * self.tick - int(inv.size / fleet.pace) if f.cut else inv.latest
@@ -368,16 +351,10 @@
             self.finish(inv)
 
     def finish(self, inv):
-        if inv.held:
-            self.held.remove((inv.key, inv))
-            inv.held = False
-        inv.done = True
+        inv.held, inv.done = False, True
         if not inv.out:
             self.invs.pop(inv.id, None)
 
-    def woke(self, now):
-        self.alarm = self.alarm if now < self.alarm else 0
-
     def decide(self, now):
         self.flow = self.flow or self.work(now)
         if (decision := next(self.flow, None)) is None:
@@ -389,22 +366,19 @@
         if 0 < self.ask_at <= now:
             self.ask_at = 0
             yield ("follow",)
-        for f in self.drops:
-            f.cancelled = True
-            yield ("cancel", f.inv.id, f.n)
-        self.drops.clear()
         if self.cutoffs.step(now, fleet):
             fleet.lay(self.cutoffs.share if self.cutoffs.best else 0.0)
-            best = "cutting at %s ms" % [int(c / 10) for c in self.cutoffs.best or []]
-            yield ("note", (best if self.cutoffs.best else "random spread") + ": " + self.cutoffs.why)
+            yield ("note", self.cutoffs.why)
         while self.cuts and self.cuts[0][0] <= now:
             f = heappop(self.cuts)[2]
             if self.pays(f, now):
                 f.cut = f.cancelled = True
                 yield ("cancel", f.inv.id, f.n)
-        yield from self.place(now)
-        wake = min(now + (4 * self.tick if self.held or self.cuts else SECOND // 10), self.ask_at or inf)
-        if not self.alarm or wake < self.alarm - self.tick:
+        if self.held:
+            yield from self.place(now)
+        soon = self.cuts or self.cutoffs.left or any(inv.held for _, inv in self.held)
+        wake = min(now + (4 * self.tick if soon else SECOND), self.ask_at or inf)
+        if self.alarm <= now or wake < self.alarm - self.tick:
             self.alarm = wake
             yield ("wake", wake)
 
@@ -419,30 +393,49 @@
         return True
 
     def place(self, now):
-        fleet = self.fleet
-        # From a random place in the hashed list on, and not all: a node's CPU must not grow with the fleet.
-        at = int(self.chance.draw() * len(fleet.listed)) if self.held else 0
-        ring = fleet.listed[at:] + fleet.listed[:at] if self.held else ()
-        free = list(islice((e for e in ring if fleet.ready(e, now)), 24))
-        for _, inv in list(self.held):
+        fleet, free = self.fleet, []
+        self.held = [(key, inv) for key, inv in self.held if inv.held and key == inv.key]
+        # Own answers tell little of an executor at which less than a quarter of a forward of this node is out.
+        thin = self.probes and self.cutoffs.arrivals.total(now) * fleet.mean < SECOND * len(fleet.listed)
+        if not thin:
+            # From a random place in the hashed list on, and not all: a node's CPU must not grow with the fleet.
+            at, ring = int(self.chance.draw() * len(fleet.listed)), fleet.listed + fleet.listed
+            free = list(islice((e for e in ring[at:at + len(fleet.listed)] if fleet.ready(e, now)), 24))
+        for _, inv in self.held:
             if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
                 yield self.give_up(inv, now)
                 continue
-            e = self.choose(inv, free, now) if free else None
+            waits = thin and now < inv.ask_at and any(e.asked for e in inv.asked)
+            if thin:
+                free = [] if waits else [e for e in inv.asked if not e.asked and fleet.ready(e, now)]
+            e = self.choose(inv, free, now, thin) if free else None
             if e:
-                self.held.remove((inv.key, inv))
-                f = Forward(inv, len(inv.forwards), e, now)
-                inv.forwards.append(f)
-                inv.held, inv.out, e.out[inv.id, f.n], e.used = False, inv.out + 1, f, e.used + inv.slots
+                f = Forward(inv, e, now)
                 if not self.starts:      # the design's second clock: the send plus the modelled wait
-                    self.clock(f, now + int(fleet.wait))
-                if not fleet.ready(e, now):
+                    self.clock(f, now + int(e.wait))
+                if not thin and not fleet.ready(e, now):
                     free.remove(e)
                 yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
+            elif thin and not waits:
+                yield from self.ask(inv, now) if inv.rounds < 4 else (self.give_up(inv, now),)
+
+    def ask(self, inv, now):
+        """Two random executors, by size, of home or of the other zones, in turn."""
+        fleet, inv.asked = self.fleet, []
+        inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < fleet.away
+        inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
+        for _ in range(32 if fleet.listed else 0):
+            e = self.chance.pick(fleet.listed)
+            by_size = self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
+            if by_size and (e.zone != fleet.zone) == inv.abroad and not e.asked and len(inv.asked) < 2 and (
+                    self.suits(inv, e, now) and fleet.ready(e, now)):
+                inv.asked.append(e)
+                e.asked = now
+                yield ("probe", e.id)
 
     def allowed(self, inv, e, now):
         """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
-        if len(inv.forwards) >= self.forwards or (inv.out and not self.copies):
+        if len(inv.forwards) >= self.forwards:
             return False
         first = next((f for f in inv.forwards if not f.unrun), None)
         if first is None or inv.op.effect == IDEMPOTENT:
@@ -452,22 +445,27 @@
         group = inv.op.group
         return group == "all" or (e.zone == first.tgt.zone if group == "zone" else e.cell == first.tgt.cell)
 
-    def choose(self, inv, free, now):
+    def suits(self, inv, e, now):
+        return ((not self.cutoffs.best or e.tier == min(inv.tier, 1)) and self.fleet.hold.get(e.tier, 0) <= now
+                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now)))
+
+    def choose(self, inv, free, now, thin):
         fleet = self.fleet
-        tier = min(inv.tier, 1) if self.cutoffs.best else None
-        pool = [e for e in free if (tier is None or e.tier == tier) and fleet.hold.get(e.tier, 0) <= now
-                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now))]
-        near = [e for e in pool if e.zone == fleet.zone]
-        # Crossing costs by the forward: home is waited for the longer the less there is to gain.
-        part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
-        if near or now - inv.arrived < part * (inv.latest - inv.arrived):
-            pool = near
-        if not pool:
-            return None
-        end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now
-        pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
-        mean = sum(e.used / e.credit for e in pool) / len(pool)
-        return self.chance.pick([e for e in pool if e.used / e.credit <= mean + 0.2] or pool)
+        pool = [e for e in free if self.suits(inv, e, now)]
+        if not thin:
+            near = [e for e in pool if e.zone == fleet.zone]
+            # Crossing costs by the forward: home is waited for the longer the less there is to gain.
+            part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
+            if near or now - inv.arrived < part * (inv.latest - inv.arrived):
+                pool = near
+        end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now - fleet.bias * thin
+        timely = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end]
+        pool = timely or [e for e in pool if not thin or e.wait + fleet.bias <= fleet.quick]
+        # All nodes read the same reports, about a second old: the more work comes and goes in that time, the less
+        # a difference may weigh, or all would meet where a late report has room.
+        load = [e.load if thin else e.used / e.credit for e in pool]
+        far = sum(load) / max(len(load), 1) + (SECOND / fleet.mean / 4 if thin else 0.2)
+        return self.chance.pick([e for e, x in zip(pool, load) if x <= far]) if pool else None
 
     def give_up(self, inv, now):
         """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -4,19 +4,21 @@
 
 The calls a host makes on a Dispatcher (any protocol's adapter is such a host):
 
-    listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, born),
+    listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, born, weight),
                                state one of "healthy", "draining", "gone"; whole: rows replace the list
-    list_failed(now)           an ask for the list, or the subscription, failed
+    unlisted(now)              the node begins, or an ask for the list or the subscription failed
     taken(now, id, operation, tenant, due, hint, slots)   an invocation; due: the client gives up then
     started(now, id, n) / progressed(now, id, n)      notes on forward n of an invocation
     ended(now, id, n, outcome, closed)                how a forward ended; see OUTCOMES
-    left(now, id) / woke(now) / subscribe(now)        the client left / a wake is due / the node begins
+    probed(now, id, outcome, free, held, waiting)     a probe's answer: free slots, work held, work waiting
+                               there by the executor's report, None for what it lacks
+    left(now, id)                                    the client left; a wake that is due needs no call
 
 After any inputs of one instant the host takes decide(now) until it gives None:
 
     ("forward", inv id, executor id, time allowed)    ("cancel", inv id, n)
     ("throttle", inv id, come back after)              ("error", inv id)
-    ("wake", at)   ("follow",)   ("note", text)
+    ("probe", executor id)   ("wake", at)   ("follow",)   ("note", text)
 """
 
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
@@ -38,31 +40,51 @@
 
 class Executor:
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
-                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "late", "used")
+                 "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
+                 "asked", "weight", "load")
 
-    def __init__(self, id, rank, born, now):
-        self.id, self.rank, self.born, self.heard, self.tier, self.out = id, rank, born, now, 0, {}
-        self.credit, self.speed, self.floor = 2.0, 1.0, None
+    def __init__(self, id, rank, now):
+        self.id, self.rank, self.heard, self.tier, self.out = id, rank, now, 0, {}
+        self.credit, self.speed, self.floor, self.born = 2.0, 1.0, None, None
         self.work = self.busy = self.wait = 0.0
-        self.shut = self.fails = self.full = self.cut = self.trimmed = self.late = self.used = 0
+        self.shut = self.fails = self.full = self.cut = self.trimmed = self.used = 0
+        self.asked = self.load = 0
+
+    def list(self, zone, kind, cell, state, born, weight):
+        if self.born is not None and born > self.born:
+            # Restarted: what was known of its health is of its former life.
+            self.shut, self.fails, self.full, self.credit = 0, 0, 0, min(self.credit, 2.0)
+        self.zone, self.kind, self.cell, self.state, self.weight = zone, kind, cell, state, weight
+        self.born = max(born, self.born or 0)
 
 
 class Invocation:
-    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out", "tier", "done",
-                 "held", "key", "hint")
+    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out", "tier",
+                 "done", "held", "key", "hint",
+                 "rounds", "ask_at", "asked", "abroad")
 
-    def __init__(self, id, op, arrived, due, size, slots, over):
+    def __init__(self, id, op, arrived, due, size, hint, slots, over):
         self.id, self.op, self.arrived, self.due = id, op, arrived, due
-        self.size, self.slots, self.over, self.latest, self.first = size, slots, over, due, arrived
-        self.forwards, self.out, self.tier, self.done, self.held, self.key = [], 0, 0, False, False, None
+        self.size, self.hint, self.slots, self.over, self.latest, self.first = size, hint, slots, over, due, arrived
+        self.forwards, self.out, self.tier, self.key = [], 0, 0, None
+        self.done = self.held = False
+        self.rounds, self.ask_at, self.asked, self.abroad = 0, 0, [], False
 
 
 class Forward:
-    __slots__ = ("inv", "n", "tgt", "sent", "began", "cancelled", "done", "cut", "unrun")
+    __slots__ = ("inv", "n", "tgt", "sent", "began", "cancelled", "done", "cut", "unrun", "guess")
 
-    def __init__(self, inv, n, tgt, sent):
-        self.inv, self.n, self.tgt, self.sent, self.began = inv, n, tgt, sent, 0
+    def __init__(self, inv, tgt, sent):
+        self.inv, self.n, self.tgt, self.sent, self.began, self.guess = inv, len(inv.forwards), tgt, sent, 0, tgt.wait
         self.cancelled = self.done = self.cut = self.unrun = False
+        inv.forwards.append(self)
+        inv.held, inv.out, inv.asked = False, inv.out + 1, []
+        tgt.out[inv.id, self.n], tgt.used = self, tgt.used + inv.slots
+
+    def end(self, unrun):
+        self.done, self.unrun = True, unrun
+        del self.tgt.out[self.inv.id, self.n]
+        self.inv.out, self.tgt.used = self.inv.out - 1, self.tgt.used - self.inv.slots
 
 
 class Ring:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,17 +4,18 @@
 HEALTHY = "healthy"
 
 
-def dispatcher(effect=IDEMPOTENT, group="zone", nodes=1, me=0, cancels=True, copies=False, asks=False, back=0,
-               window=100_000, cross=0.0, progress=10_000, seed=7):
+def dispatcher(effect=IDEMPOTENT, group="zone", nodes=1, me=0, cancels=True, asks=False, back=0,
+               window=100_000, cross=0.0, progress=10_000, seed=7,
+               probes=False):
     ops = {"op": Operation("op", effect, group, window, 2_500, 2.0, 1.0)}
     chance = brain.Chance(seed)
-    fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 10_000, 250, progress)
-    return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares({}, nodes), ops, 50, copies,
-                            cancels, 5, back, True, asks, cross, True)
+    fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 10_000, 250, progress, cross)
+    return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares({}, nodes), ops, 50, cancels,
+                            5, back, True, asks, cross, True, probes)
 
 
 def rows(*ids, zone="a", state=HEALTHY, born=0):
-    return [(i, zone, "std", 0, state, born) for i in ids]
+    return [(i, zone, "std", 0, state, born, 1) for i in ids]
 
 
 def pull(d, now, *kinds):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -237,7 +237,7 @@
         d.listed(10, True, rows(*range(1, 9)))
         c, chance = d.cutoffs, random.Random(3)
         c.sizes = [100 / (1 - chance.random() * 0.999) ** 1.0 for _ in range(400)]
-        c.kept = kept
+        c.kept, c.loose = kept, 0.0
         for _ in range(300):
             c.arrivals.add(99_000)
         c.step(10, d.fleet)
@@ -249,14 +249,14 @@
 
 def test_the_list_is_asked_for_again_later_each_time():
     d = dispatcher(asks=True)
-    d.subscribe(10)
+    d.unlisted(10)
     now, gaps = 10, []
     for _ in range(4):
         start = now
         while not pull(d, now, "follow"):
             now += 100
         gaps.append(now - start)
-        d.list_failed(now)
+        d.unlisted(now)
     assert gaps[0] < 10_000 and gaps[3] > gaps[1]
 
 
@@ -267,3 +267,39 @@
     seen = {subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": h}, check=True,
                            capture_output=True).stdout for h in "012"}
     assert len(seen) == 1 and b"forward" in seen.pop()
+
+
+def test_where_own_answers_are_thin_two_are_asked_and_the_full_one_is_passed_over():
+    d = dispatcher(nodes=200, probes=True)      # guards against hundreds of nodes that send blindly
+    d.listed(10, True, rows(1, 2, 3, 4))
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    asked = [x[1] for x in pull(d, 10, "probe")]
+    assert len(set(asked)) == 2 and not pull(d, 15)
+    d.probed(20, asked[0], "ok", 3, 1, None)      # shows four slots
+    assert not pull(d, 20)      # the other's answer is still out
+    d.probed(25, asked[1], "ok", 0, 40, None)
+    assert [x[2] for x in pull(d, 25, "forward")] == [asked[0]]
+
+
+def test_when_all_asked_are_full_the_answer_comes_soon():
+    d = dispatcher(nodes=200, probes=True, back=20_000)      # guards against sitting on what cannot be in time
+    d.listed(10, True, rows(1, 2, 3, 4))
+    d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    seen = {}
+    for now in range(10, 400, 10):
+        for x in pull(d, now):
+            seen.setdefault(x[0], now)
+            if x[0] == "probe":
+                d.probed(now, x[1], "ok", 0, 90, None)
+    assert set(seen) == {"probe", "throttle"}
+
+
+def test_late_starts_at_home_send_a_part_abroad():
+    fleet = dispatcher(cross=0.1).fleet      # guards against a zone with more traffic than its workers can carry
+    fleet.update(10, True, rows(1) + rows(2, zone="b"))
+    for wait, more in ((2_000, True), (0, False)):
+        for i in range(40):
+            fleet.began(fleet.all[1], 10_000 * i + wait, 10_000 * i, 0)
+            fleet.began(fleet.all[2], 10_000 * i, 10_000 * i, 0)
+            fleet.all[1].floor = 0
+        assert (fleet.away > 0.5) == more
