One executor is asked before a forward, one more after a refusal by report

Cause: reports are about a second old and all nodes read them. Conclusion: damping beats information that all share and that is late.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -188,7 +188,7 @@
         wait = took - e.floor
         e.wait += 0.3 * (wait - e.wait)
         # Work that came since the report makes waits longer than it said: under overload, always.
-        self.bias += 0.1 * (max(wait - guess, 0) - self.bias)
+        self.bias += 0.1 * (min(max(wait - guess, 0), 40 * self.quick) - self.bias)
         # How late work starts at home and abroad, as a share of the objective: what crossing would save.
         side = e.zone != self.zone
         self.late[side] += 0.1 * (min(wait / (10 * self.quick), 1) - self.late[side])
@@ -213,8 +213,8 @@
         if free is not None:
             # All slots show when one is free; else the most seen of its kind stand in.
             slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), free and free + (held or 0))
-            e.load = 1 - free / slots + (max(held - slots, 0) if waiting is None else waiting) / slots
-            e.wait = max(0, e.load - 1 + 0.5 / slots) * self.mean / e.speed if free < 0.5 else 0
+            waiting = max(held - slots, 0) if waiting is None else waiting
+            e.wait = (waiting + 0.5) / slots * self.mean / e.speed if free < 0.5 else 0
 
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
@@ -407,7 +407,7 @@
                 continue
             waits = thin and now < inv.ask_at and any(e.asked for e in inv.asked)
             if thin:
-                free = [] if waits else [e for e in inv.asked if not e.asked and fleet.ready(e, now)]
+                free = [e for e in inv.asked if not e.asked and fleet.ready(e, now)]
             e = self.choose(inv, free, now, thin) if free else None
             if e:
                 f = Forward(inv, e, now)
@@ -417,21 +417,24 @@
                     free.remove(e)
                 yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
             elif thin and not waits:
-                yield from self.ask(inv, now) if inv.rounds < 4 else (self.give_up(inv, now),)
+                # All nodes read the same late reports: asking on until one has room makes all meet there. What is
+                # known by own starts only is not shared, and what did not answer says nothing.
+                again = inv.rounds < (2 if free and fleet.slots else 4)
+                yield from self.ask(inv, now) if again else (self.give_up(inv, now),)
 
     def ask(self, inv, now):
-        """Two random executors, by size, of home or of the other zones, in turn."""
+        """One random executor, by size, of home or of the other zones, in turn."""
         fleet, inv.asked = self.fleet, []
         inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < fleet.away
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
         for _ in range(32 if fleet.listed else 0):
             e = self.chance.pick(fleet.listed)
             by_size = self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
-            if by_size and (e.zone != fleet.zone) == inv.abroad and not e.asked and len(inv.asked) < 2 and (
+            if by_size and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
-                inv.asked.append(e)
-                e.asked = now
+                inv.asked, e.asked = [e], now
                 yield ("probe", e.id)
+                break
 
     def allowed(self, inv, e, now):
         """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
@@ -442,8 +445,7 @@
             return True
         if inv.op.effect == NON_IDEMPOTENT or now + 10 * self.tick > first.sent + inv.op.window:
             return False
-        group = inv.op.group
-        return group == "all" or (e.zone == first.tgt.zone if group == "zone" else e.cell == first.tgt.cell)
+        return inv.op.group == "all" or getattr(e, inv.op.group) == getattr(first.tgt, inv.op.group)
 
     def suits(self, inv, e, now):
         return ((not self.cutoffs.best or e.tier == min(inv.tier, 1)) and self.fleet.hold.get(e.tier, 0) <= now
@@ -458,14 +460,12 @@
             part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
             if near or now - inv.arrived < part * (inv.latest - inv.arrived):
                 pool = near
-        end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now - fleet.bias * thin
-        timely = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end]
-        pool = timely or [e for e in pool if not thin or e.wait + fleet.bias <= fleet.quick]
-        # All nodes read the same reports, about a second old: the more work comes and goes in that time, the less
-        # a difference may weigh, or all would meet where a late report has room.
-        load = [e.load if thin else e.used / e.credit for e in pool]
-        far = sum(load) / max(len(load), 1) + (SECOND / fleet.mean / 4 if thin else 0.2)
-        return self.chance.pick([e for e, x in zip(pool, load) if x <= far]) if pool else None
+        end = inv.first + inv.op.objective + inv.op.stretch * inv.size - now
+        if thin:
+            pool = [e for e in pool if e.wait + fleet.bias <= max(end - inv.size / e.speed, fleet.quick)]
+        pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
+        far = sum(e.used / e.credit for e in pool) / max(len(pool), 1) + 0.2
+        return self.chance.pick([e for e in pool if e.used / e.credit <= far]) if pool else None
 
     def give_up(self, inv, now):
         """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -41,14 +41,13 @@
 class Executor:
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
-                 "asked", "weight", "load")
+                 "asked", "weight")
 
     def __init__(self, id, rank, now):
         self.id, self.rank, self.heard, self.tier, self.out = id, rank, now, 0, {}
         self.credit, self.speed, self.floor, self.born = 2.0, 1.0, None, None
         self.work = self.busy = self.wait = 0.0
-        self.shut = self.fails = self.full = self.cut = self.trimmed = self.used = 0
-        self.asked = self.load = 0
+        self.shut = self.fails = self.full = self.cut = self.trimmed = self.used = self.asked = 0
 
     def list(self, zone, kind, cell, state, born, weight):
         if self.born is not None and born > self.born:
