Executors known to start work at once are drawn first

Change: executors where own work started at once and ended in the last 4 s are drawn first, always where connections are charged, else as likely as jobs last.

--- a/grebedyke/benchlink/adapter.py
+++ b/grebedyke/benchlink/adapter.py
@@ -76,6 +76,7 @@
         max(min(op.objective for op in operations.values()) // 10, 10), tenths(figure(family, "progressMs", default=0)),
         figure(conf, "prices.crossZone", 0, default=0.0))
     quotas = {row.get("name"): figure(row, "quotaRps", default=0.0) for row in conf.get("parties") or []}
+    charged = any(figure(conf, f"prices.{name}", 0, default=0) for name in ("connection", "handshake"))
     return brain.Dispatcher(
         chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), operations,
         tenths(figure(conf, "tickMs", 0.1)), bool(limits.get("mayCancel")),
@@ -83,7 +84,7 @@
         tenths(figure(limits, "maxRetryAfterMs", default=0)) if limits.get("retryAfter") else 0,
         bool(family.get("tellsStart")), conf.get("registryMode") == "ask",
         figure(conf, "prices.crossZone", 0, default=0.0), conf.get("billedValueBy") == "work",
-        bool(limits.get("probes")))
+        bool(limits.get("probes")), charged)
 
 
 def reported(fields, row):
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -114,9 +114,8 @@
             plain = self.score(self.law, [], fleet.lay(0), *self.model)
             # The model is rough: cutting must promise clearly less waiting than leaving jobs alone.
             self.best = cuts if wait < 0.8 * plain else None
-            self.why = "%s: alpha %.2f, cut wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
-                "cutting at %d ms" % (cuts[0] / 10) if self.best else "random spread", self.law[2], wait / 10,
-                plain / 10, self.kept, self.freed)
+            self.why = "%s: cut at %d ms, wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
+                "cutting" if self.best else "random spread", cuts[0] / 10, wait / 10, plain / 10, self.kept, self.freed)
             return True
         n, self.pool = len(ranked), [c for _, c in ranked[:2]]      # elitism: the best two live on
         while len(self.pool) < n:      # the paper's odds for the i-th ranked
@@ -137,12 +136,11 @@
         self.cold_from, self.ramp, self.tip = cold_from, ramp, tip
         self.all, self.listed, self.kinds, self.share, self.hold = {}, [], {}, 0.0, {}
         self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
-        self.mean, self.slots, self.late, self.away, self.bias = 0.0, {}, [0.0, 0.0], 0.0, 0.0
+        self.mean, self.slots, self.late, self.bias = 0.0, {}, [0.0, 0.0], 0.0
 
     def update(self, now, whole, rows):
-        if whole:
-            for e in self.all.values():
-                e.state = "gone"
+        for e in self.all.values() if whole else ():
+            e.state = "gone"
         for id, zone, kind, cell, state, born, weight in rows:
             e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), now))
             e.list(zone, kind, cell, state, born, weight)
@@ -192,7 +190,6 @@
         # How late work starts at home and abroad, as a share of the objective: what crossing would save.
         side = e.zone != self.zone
         self.late[side] += 0.1 * (min(wait / (10 * self.quick), 1) - self.late[side])
-        self.away = min(max(2 * (self.late[0] - self.late[1] - self.cross), 0.02), 1.0)
         if wait <= self.quick:
             if e.used >= e.credit - 1:
                 e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
@@ -200,9 +197,8 @@
             # When all are slow at once the cause is not this executor: then most keep their credit.
             e.credit, e.trimmed = max(0.1, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
             self.trims.add(now)
-        if e.credit < 1:
-            # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
-            e.shut = max(e.shut, now + int(took * (1 / e.credit - 1)))
+        # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
+        e.shut = max(e.shut, now + int(took * max(1 / e.credit - 1, 0)))
 
     def probed(self, now, id, outcome, free, held, waiting):
         """What other nodes send is seen here alone: the report gives the work there by its slots."""
@@ -255,13 +251,13 @@
     """Invocations: hold, forward, cancel, answer."""
 
     def __init__(self, chance, cutoffs, fleet, shares, operations, tick, cancels, forwards, back, starts,
-                 asks, cross, by_work, probes):
+                 asks, cross, by_work, probes, charged):
         self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
         self.operations, self.tick, self.cancels = operations, tick, cancels
         self.forwards, self.back, self.starts, self.cross = forwards, back, starts, cross
         self.invs, self.held, self.cuts, self.by_work = {}, [], [], by_work
         self.alarm, self.flow, self.count, self.asks, self.ask_at, self.ask_fails = 0, None, 0, asks, 0, 0
-        self.probes, self.probed = probes, fleet.probed
+        self.probes, self.probed, self.charged = probes, fleet.probed, charged
 
     def listed(self, now, whole, rows):
         self.fleet.update(now, whole, rows)
@@ -295,8 +291,7 @@
         insort(self.held, (inv.key, inv))
 
     def started(self, now, id, n):
-        f = self.forward(id, n)
-        if f and not f.cancelled:
+        if (f := self.forward(id, n)) and not f.cancelled:
             e = f.tgt
             e.heard, e.full = now, 0
             self.fleet.began(e, now, f.sent, f.guess)
@@ -406,9 +401,8 @@
                 yield self.give_up(inv, now)
                 continue
             waits = thin and now < inv.ask_at and any(e.asked for e in inv.asked)
-            if thin:
-                free = [e for e in inv.asked if not e.asked and fleet.ready(e, now)]
-            e = self.choose(inv, free, now, thin) if free else None
+            some = [e for e in inv.asked if not e.asked and fleet.ready(e, now)] if thin else free
+            e = self.choose(inv, some, now, thin) if some else None
             if e:
                 f = Forward(inv, e, now)
                 if not self.starts:      # the design's second clock: the send plus the modelled wait
@@ -419,18 +413,24 @@
             elif thin and not waits:
                 # All nodes read the same late reports: asking on until one has room makes all meet there. What is
                 # known by own starts only is not shared, and what did not answer says nothing.
-                again = inv.rounds < (2 if free and fleet.slots else 4)
+                again = inv.rounds < (2 if some and fleet.slots else 4)
                 yield from self.ask(inv, now) if again else (self.give_up(inv, now),)
 
     def ask(self, inv, now):
         """One random executor, by size, of home or of the other zones, in turn."""
         fleet, inv.asked = self.fleet, []
-        inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < fleet.away
+        away = max(2 * (fleet.late[0] - fleet.late[1] - fleet.cross), 0.02)
+        inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < away
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
+        # Where connections are charged, first those where own work started at once and ended lately; else as likely as
+        # jobs last: in half a second short ones have turned over what was seen.
+        keep = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean
+        known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND and e.floor is not None
+                          and (e.zone != fleet.zone) == inv.abroad and e.wait <= fleet.quick]
         for _ in range(32 if fleet.listed else 0):
-            e = self.chance.pick(fleet.listed)
-            by_size = self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
-            if by_size and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
+            e = self.chance.pick(known or fleet.listed)
+            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
+            if fits and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
                 inv.asked, e.asked = [e], now
                 yield ("probe", e.id)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -294,11 +294,33 @@
 
 
 def test_late_starts_at_home_send_a_part_abroad():
-    fleet = dispatcher(cross=0.1).fleet      # guards against a zone with more traffic than its workers can carry
-    fleet.update(10, True, rows(1) + rows(2, zone="b"))
-    for wait, more in ((2_000, True), (0, False)):
+    for wait, more in ((2_000, True), (0, False)):      # guards against a zone with more than its workers can carry
+        d, abroad = dispatcher(nodes=200, cross=0.1, probes=True), 0
+        d.listed(10, True, rows(1) + rows(2, zone="b"))
         for i in range(40):
-            fleet.began(fleet.all[1], 10_000 * i + wait, 10_000 * i, 0)
-            fleet.began(fleet.all[2], 10_000 * i, 10_000 * i, 0)
-            fleet.all[1].floor = 0
-        assert (fleet.away > 0.5) == more
+            d.fleet.began(d.fleet.all[1], 10_000 * i + wait, 10_000 * i, 0)
+            d.fleet.all[1].floor = 0
+        for i in range(40):
+            now = 500_000 + 10_000 * i
+            d.fleet.all[1].shut = d.fleet.all[1].asked = d.fleet.all[2].asked = 0
+            d.taken(now, i, "op", None, now + 50_000, 1_000, 1)
+            abroad += pull(d, now, "probe") == [("probe", 2)]
+            d.left(now, i)
+        assert (abroad > 20) == more
+
+
+def test_known_executors_are_kept_to_where_connections_are_charged():
+    d, asked = dispatcher(nodes=200, probes=True, charged=True), set()      # guards against a connection to each
+    d.listed(10, True, rows(*range(1, 40)))
+    for i in range(20):
+        now = 10 + 2_000 * i
+        d.taken(now, i, "op", None, now + 50_000, 1_000, 1)
+        while not (probes := pull(d, now, "probe")):
+            now += 200
+        id = probes[0][1]
+        asked.add(id)
+        d.probed(now + 5, id, "ok", None, None, None)
+        pull(d, now + 5)
+        d.started(now + 10, i, 0)
+        d.ended(now + 900, i, 0, "ok", True)
+    assert len(asked) < 5
