A second executor is asked the less likely the later own work starts

Change: the second ask has the chance of own work starting in time at home; the bias of late starts follows faster (0.25).

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -186,7 +186,7 @@
         wait = took - e.floor
         e.wait += 0.3 * (wait - e.wait)
         # Work that came since the report makes waits longer than it said: under overload, always.
-        self.bias += 0.1 * (min(max(wait - guess, 0), 40 * self.quick) - self.bias)
+        self.bias += 0.25 * (min(max(wait - guess, 0), 40 * self.quick) - self.bias)
         # How late work starts at home and abroad, as a share of the objective: what crossing would save.
         side = e.zone != self.zone
         self.late[side] += 0.1 * (min(wait / (10 * self.quick), 1) - self.late[side])
@@ -413,7 +413,7 @@
             elif thin and not waits:
                 # All nodes read the same late reports: asking on until one has room makes all meet there. What is
                 # known by own starts only is not shared, and what did not answer says nothing.
-                again = inv.rounds < (2 if some and fleet.slots else 4)
+                again = inv.rounds < (1 + (self.chance.draw() > fleet.late[0]) if some and fleet.slots else 4)
                 yield from self.ask(inv, now) if again else (self.give_up(inv, now),)
 
     def ask(self, inv, now):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -324,3 +324,15 @@
         d.started(now + 10, i, 0)
         d.ended(now + 900, i, 0, "ok", True)
     assert len(asked) < 5
+
+
+def test_when_own_work_starts_late_one_refusal_is_enough():
+    for late, asked in ((1.0, 1), (0.0, 2)):      # guards against a herd under overload, when all ask twice
+        d = dispatcher(nodes=200, probes=True, back=20_000)
+        d.listed(10, True, rows(1, 2) + rows(3, 4, zone="b"))
+        d.fleet.late[0], d.fleet.slots = late, {"std": 4}
+        d.taken(10, 5, "op", None, 50_000, 1_000, 1)
+        for _ in range(asked):
+            (_, id), = pull(d, 20, "probe")
+            d.probed(20, id, "ok", 0, 90, None)
+        assert [x[0] for x in pull(d, 20)] == ["throttle"]
