--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -419,7 +419,7 @@
     def ask(self, inv, now):
         """One random executor, by size, of home or of the other zones, in turn."""
         fleet, inv.asked = self.fleet, []
-        away = max(2 * (fleet.late[0] - fleet.late[1] - fleet.cross), 0.02)
+        away = max(4 * (fleet.late[0] - fleet.late[1] - fleet.cross), 0.02)
         inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < away
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
         # Where connections are charged, first those where own work started at once and ended lately; else as likely as
