A young executor is drawn at its part only, and is not among the known

Where most others are not ready, draws went on until one was, and own prompt starts made the cold one a known one at many nodes: all met there. Told apart: turned away work was low, the sends came from many nodes with one forward each. Change: an executor younger than a quarter of the warming time is not among the known and is drawn only in the first two draws of the first round.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -50,7 +50,7 @@
         k, n, a = sizes[0], len(sizes), 1.0
         p = max(max(sizes), max(capped, default=0) * 1.01, k * 1.01)
         logs = sum(log(max(x / k, 1.0)) for x in (*sizes, *capped))
-        for _ in range(30):      # where the likelihood's slope is 0: n / a = logs + n log(p/k) / ((p/k)^a - 1)
+        for _ in range(30):      # slope of the likelihood 0: n / a = logs + n log(p/k) / ((p/k)^a - 1)
             a = (a + min(n / (logs + n * log(p / k) / ((p / k) ** a - 1)), 3.0)) / 2
         return k, p, a
 
@@ -114,10 +114,10 @@
             plain = self.score(self.law, [], fleet.lay(0), *self.model)
             # The model is rough: cutting must promise clearly less waiting than leaving jobs alone.
             self.best = cuts if wait < 0.8 * plain else None
-            self.why = "%s: cut at %d ms, wait %.1f ms, random %.1f ms, cancels kept %d freed %d" % (
-                "cutting" if self.best else "random spread", cuts[0] / 10, wait / 10, plain / 10, self.kept, self.freed)
+            self.why = "%s: cut at %d ms, wait %.1f ms, random %.1f ms" % (
+                "cutting" if self.best else "random spread", cuts[0] / 10, wait / 10, plain / 10)
             return True
-        n, self.pool = len(ranked), [c for _, c in ranked[:2]]      # elitism: the best two live on
+        n, self.pool = len(ranked), [c for _, c in ranked[:2]]      # elitism
         while len(self.pool) < n:      # the paper's odds for the i-th ranked
             self.pool.append(self.mutate(ranked[n - 1 - int((self.chance.draw() * n * n) ** 0.5)][1]))
         return False
@@ -132,8 +132,8 @@
     """What is known of the executors: the list, own load, credit, health, cold turns, tiers."""
 
     def __init__(self, zone, me, nodes, cold_from, ramp, tip, quick, progress, cross):
-        self.cross, self.zone, self.me, self.nodes, self.quick, self.progress = cross, zone, me, nodes, quick, progress
-        self.cold_from, self.ramp, self.tip = cold_from, ramp, tip
+        self.zone, self.me, self.nodes, self.quick, self.progress = zone, me, nodes, quick, progress
+        self.cold_from, self.ramp, self.tip, self.cross = cold_from, ramp, tip, cross
         self.all, self.listed, self.kinds, self.share, self.hold = {}, [], {}, 0.0, {}
         self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
         self.mean, self.slots, self.late, self.bias = 0.0, {}, [0.0, 0.0], 0.0
@@ -142,10 +142,10 @@
         for e in self.all.values() if whole else ():
             e.state = "gone"
         for id, zone, kind, cell, state, born, weight in rows:
-            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id), now))
+            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(b"%d" % id)))
             e.list(zone, kind, cell, state, born, weight)
         self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out or e.asked}
-        self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: (e.rank, e.id))
+        self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: e.rank)
         self.top = max((e.weight for e in self.listed), default=1)
         self.lay(self.share)
 
@@ -163,21 +163,20 @@
         return rows if share else rows[:1]
 
     def warmth(self, e, now):
-        age = max(now - e.born, 0) if e.born else self.ramp
-        return min(1.0, self.cold_from + (1 - self.cold_from) * age / self.ramp)
+        return min(1.0, self.cold_from + (1 - self.cold_from) * max(now - e.born, 0) / self.ramp)
 
     def ready(self, e, now):
         if max(e.shut, e.full) > now or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
-        # All nodes see the same fresh executor: by turns, at first, they don't overrun it (rule 4). Four turns at
-        # most: of many nodes few have work in a short one.
+        # All nodes see the same fresh executor: by turns, at first, they don't overrun it (rule 4). Four
+        # turns at most: of many nodes few have work in a short one.
         age, turns = now - e.born, min(self.nodes, 4)
-        if e.born and age < self.ramp / 4 and age * turns // self.tip % turns != self.me % turns:
+        if age < self.ramp / 4 and age * turns // self.tip % turns != self.me % turns:
             return False
-        # Own work that waits there says that it is full now, whatever credit it had earned before. Begun work of
-        # which no note comes: hung, cut off or dead; a slow one still sends its notes.
-        notes, start = 1.4 * self.progress or 3 * SECOND, self.quick + (e.floor or 0)
-        return all(now <= (max(e.heard, f.sent) + notes if f.began else f.sent + start) for f in e.out.values())
+        # Own work that waits there says that it is full now, whatever credit it had earned before. Begun
+        # work of which no note comes: hung, cut off or dead; a slow one still sends its notes.
+        gap, start = 1.4 * self.progress or 3 * SECOND, self.quick + (e.floor or 0)
+        return all(now <= (max(e.heard, f.sent) + gap if f.began else f.sent + start) for f in e.out.values())
 
     def began(self, e, now, sent, guess):
         """A start note is the freshest answer: work begun at once earns credit, work that waits loses it."""
@@ -210,7 +209,7 @@
         slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), free and free + (held or 0))
         waiting = max(held - slots, 0) if waiting is None else waiting
         ahead = (waiting + 0.5) / slots * self.mean / e.speed - SECOND // 4
-        e.wait = max(ahead, 0) if free < 0.5 else 0      # a quarter second of it is worked off as the report ages
+        e.wait = max(ahead, 0) if free < 0.5 else 0      # a quarter second is worked off as the report ages
 
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
@@ -227,8 +226,8 @@
             if all(x.full > now for x in self.listed if x.tier == e.tier):
                 self.hold[e.tier] = now + SECOND     # the design's hold: its jobs wait here, not there
         elif outcome not in (CANCELLED, MOOT):
-            # Written off, but tried again at a bounded, growing distance with a single forward. Errors too: an
-            # executor that fails all at once is always free, and draws the more work for it.
+            # Written off, but tried again at a bounded, growing distance with a single forward. Errors too:
+            # an executor that fails all at once is always free, and draws the more work for it.
             e.fails += 1
             e.shut, e.credit = now + (SECOND // 4 << min(e.fails, 4)), 1.0
 
@@ -264,11 +263,11 @@
         self.ask_fails = 0
 
     def unlisted(self, now):
-        """At start or after a failed ask: one node after the other and ever later, not to stampede the list."""
+        """At start or after a failed ask: spread by the number of nodes, not to stampede; ever later."""
         if self.asks:
-            spread, self.ask_fails = min(0.3 * self.fleet.nodes, 10) * 2 ** self.ask_fails, min(self.ask_fails + 1, 3)
-            turn = self.fleet.me / self.fleet.nodes if self.ask_fails == 1 else self.chance.draw()
-            self.ask_at = now + int(SECOND * spread * (turn + 0.1 * self.chance.draw())) + 1
+            spread = SECOND * min(0.3 * self.fleet.nodes, 10) * 2 ** self.ask_fails
+            self.ask_fails = min(self.ask_fails + 1, 3)
+            self.ask_at = now + int(spread * self.chance.draw()) + 1
 
     def taken(self, now, id, operation, tenant, due, hint, slots):
         op, fleet = self.operations[operation], self.fleet
@@ -369,8 +368,7 @@
             if self.pays(f, now):
                 f.cut = f.cancelled = True
                 yield ("cancel", f.inv.id, f.n)
-        if self.held:
-            yield from self.place(now)
+        yield from self.place(now)
         soon = self.cuts or self.cutoffs.left or any(inv.held for _, inv in self.held)
         wake = min(now + (4 * self.tick if soon else SECOND), self.ask_at or inf)
         if self.alarm <= now or wake < self.alarm - self.tick:
@@ -390,10 +388,10 @@
     def place(self, now):
         fleet, free = self.fleet, []
         self.held = [(key, inv) for key, inv in self.held if inv.held and key == inv.key]
-        # Own answers tell little of an executor at which less than a quarter of a forward of this node is out.
+        # Own answers tell little of executors at which under a quarter of a forward of this node is out.
         thin = self.probes and self.cutoffs.arrivals.total(now) * fleet.mean < SECOND * len(fleet.listed)
         if not thin:
-            # From a random place in the hashed list on, and not all: a node's CPU must not grow with the fleet.
+            # From a random place in the hashed list on, and not all: CPU must not grow with the fleet.
             at, ring = int(self.chance.draw() * len(fleet.listed)), fleet.listed + fleet.listed
             free = list(islice((e for e in ring[at:at + len(fleet.listed)] if fleet.ready(e, now)), 24))
         for _, inv in self.held:
@@ -411,8 +409,8 @@
                     free.remove(e)
                 yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
             elif thin and not waits:
-                # All nodes read the same late reports: asking on until one has room makes all meet there. What is
-                # known by own starts only is not shared, and what did not answer says nothing.
+                # All nodes read the same late reports: asking on until one has room makes all meet there.
+                # What is known by own starts only is not shared, and what did not answer says nothing.
                 again = inv.rounds < (1 + (self.chance.draw() > fleet.late[0]) if some and fleet.slots else 4)
                 yield from self.ask(inv, now) if again else (self.give_up(inv, now),)
 
@@ -422,14 +420,16 @@
         away = max(4 * (fleet.late[0] - fleet.late[1] - fleet.cross), 0.02)
         inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < away
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
-        # Where connections are charged, first those where own work started at once and ended lately; else as likely as
-        # jobs last: in half a second short ones have turned over what was seen.
-        keep = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean
-        known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND and e.floor is not None
-                          and (e.zone != fleet.zone) == inv.abroad and e.wait <= fleet.quick]
-        for _ in range(32 if fleet.listed else 0):
+        # Where connections are charged, first those where own work started at once and ended lately; else as
+        # likely as jobs last: in half a second short ones have turned over what was seen.
+        keep, young = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean, now - fleet.ramp / 4
+        known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND
+                          and e.born < young and (e.zone != fleet.zone) == inv.abroad and e.wait <= fleet.quick]
+        for i in range(32 if fleet.listed else 0):
             e = self.chance.pick(known or fleet.listed)
-            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
+            # Rule 4: however few others are ready, a young one is drawn at its part of the first draws only.
+            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now) and (
+                e.born < young or i + 2 * inv.rounds < 4)
             if fits and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
                 inv.asked, e.asked = [e], now
@@ -448,7 +448,7 @@
         return inv.op.group == "all" or getattr(e, inv.op.group) == getattr(first.tgt, inv.op.group)
 
     def suits(self, inv, e, now):
-        return ((not self.cutoffs.best or e.tier == min(inv.tier, 1)) and self.fleet.hold.get(e.tier, 0) <= now
+        return ((not self.cutoffs.best or e.tier == inv.tier) and self.fleet.hold.get(e.tier, 0) <= now
                 and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now)))
 
     def choose(self, inv, free, now, thin):
@@ -469,8 +469,7 @@
 
     def give_up(self, inv, now):
         """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
-        op = inv.op
-        free = op.effect == IDEMPOTENT or (op.effect == DEDUPLICATED and op.group == "all")
+        free = inv.op.effect == IDEMPOTENT or (inv.op.effect == DEDUPLICATED and inv.op.group == "all")
         free = free or all(f.unrun for f in inv.forwards)
         self.finish(inv)
         return ("throttle", inv.id, min(self.back, SECOND // 2)) if free else ("error", inv.id)
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -21,6 +21,8 @@
     ("probe", executor id)   ("wake", at)   ("follow",)   ("note", text)
 """
 
+from math import inf
+
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
 # Outcomes of a forward; those in UNRUN prove that it never ran.
 OK, FAULT, FULL, TIMEOUT, NO_CONNECTION, RESET, CANCELLED, MOOT = OUTCOMES = (
@@ -43,18 +45,18 @@
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
                  "asked", "weight")
 
-    def __init__(self, id, rank, now):
-        self.id, self.rank, self.heard, self.tier, self.out = id, rank, now, 0, {}
+    def __init__(self, id, rank):
+        self.id, self.rank, self.heard, self.tier, self.out = id, rank, -inf, 0, {}
         self.credit, self.speed, self.floor, self.born = 2.0, 1.0, None, None
         self.work = self.busy = self.wait = 0.0
         self.shut = self.fails = self.full = self.cut = self.trimmed = self.used = self.asked = 0
 
     def list(self, zone, kind, cell, state, born, weight):
-        if self.born is not None and born > self.born:
+        if self.born is not None and born and born > self.born:
             # Restarted: what was known of its health is of its former life.
             self.shut, self.fails, self.full, self.credit = 0, 0, 0, min(self.credit, 2.0)
         self.zone, self.kind, self.cell, self.state, self.weight = zone, kind, cell, state, weight
-        self.born = max(born, self.born or 0)
+        self.born = born or -inf      # 0: long past
 
 
 class Invocation:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -345,3 +345,15 @@
         probes = pull(d, 10, "probe") or pull(d, 10, "probe")
         d.probed(20, probes[0][1], "ok", 0, held, None)
         assert bool(pull(d, 20, "forward")) == taken
+
+
+def test_a_young_executor_is_drawn_at_its_part_only_when_the_others_are_not_ready():
+    sent = 0      # guards against all nodes meeting at the one that has just started (rule 4), known or not
+    for seed in range(200):
+        d = dispatcher(nodes=200, me=0, probes=True, charged=True, seed=seed)
+        d.listed(100_000, True, rows(1, born=99_990) + rows(*range(2, 22)))
+        for e in d.fleet.listed:
+            e.shut, e.heard = (0 if e.id == 1 else 10 ** 9), 99_999
+        d.taken(100_000, 5, "op", None, 150_000, 1_000, 1)
+        sent += any(pull(d, now, "probe") for now in range(100_000, 101_000, 100))
+    assert sent < 200 * 3 / 20
