--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -424,7 +424,8 @@
         # likely as jobs last: in half a second short ones have turned over what was seen.
         keep, young = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean, now - fleet.ramp / 4
         known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND
-                          and e.born < young and (e.zone != fleet.zone) == inv.abroad and e.wait <= fleet.quick]
+                          and e.born < young and e.wait <= fleet.quick
+                          and (e.zone != fleet.zone) == inv.abroad]
         for i in range(32 if fleet.listed else 0):
             e = self.chance.pick(known or fleet.listed)
             # Rule 4: however few others are ready, a young one is drawn at its part of the first draws only.
