A cold executor is drawn by the first two draws only, however long it is cold

Change: no cold executor is among the known; while cold it is drawn in the first two draws of the first round only.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -422,15 +422,15 @@
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
         # Where connections are charged, first those where own work started at once and ended lately; else as
         # likely as jobs last: in half a second short ones have turned over what was seen.
-        keep, young = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean, now - fleet.ramp / 3
+        keep, young = self.charged or self.chance.draw() * SECOND < 2 * fleet.mean, now - fleet.ramp
         known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND
                           and e.born < young and e.wait <= fleet.quick
                           and (e.zone != fleet.zone) == inv.abroad]
         for i in range(32 if fleet.listed else 0):
             e = self.chance.pick(known or fleet.listed)
-            # Rule 4: however few others are ready, a young one is drawn at its part, by the first draw only.
+            # Rule 4: however few others are ready, a cold one is drawn at its part, by the first draws only.
             fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now) and (
-                e.born < young or i + 2 * inv.rounds < 3)
+                e.born < young or i + 2 * inv.rounds < 4)
             if fits and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
                 inv.asked, e.asked = [e], now
