Least start time is kept by zone: waiting shows where own starts at each executor are few

Seen in a trace of zone+vast: in the overloaded seconds forwards waited 0.6 s at executors, the module reckoned 0.26 s. An executor's first start set its floor, so its wait counted as none; a node sees four starts an executor in 25 s.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -135,13 +135,17 @@
         self.cold_from, self.ramp, self.tip, self.cross = cold_from, ramp, tip, cross
         self.all, self.listed, self.kinds, self.share = {}, [], {}, 0.0
         self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
-        self.mean, self.slots, self.late, self.bias = 0.0, {}, [0.0, 0.0], 0.0
+        self.mean, self.slots, self.late, self.bias, self.floors = 0.0, {}, [0.0, 0.0], 0.0, {}
 
     def update(self, now, whole, rows):
         for e in self.all.values() if whole else ():
             e.state = "gone"
         for id, *row in rows:
-            (self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(str(id).encode())))).list(*row)
+            e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(str(id).encode())))
+            e.list(*row)
+            # The least that a start takes is the way's: of a large fleet's single executors a node sees so
+            # few starts that each one's own least would be a wait itself, and overload would not show.
+            e.floor = self.floors.setdefault(e.zone, [inf, inf])
         self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out or e.asked}
         self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: e.rank)
         self.top = max((e.weight for e in self.listed), default=1)
