Young executors get a budget of every node's part instead of the first draws only

Seen in a trace of join+vast: while 24 old executors stood at 13 held invocations with starts 0.7 s late, 36 young ones stood at 1.5 to 2.5 with starts 0.03 s late: only the first draws of a first round could take one, most of them fell on another zone. Now each node sends a young one its part of half the multiple that fells it, by warmth, from a moment on that the nodes' numbers spread over the gap.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -130,9 +130,10 @@
 class Fleet:
     """What is known of the executors: the list, own load, credit, health, cold turns, tiers."""
 
-    def __init__(self, zone, me, nodes, cold_from, ramp, tip, quick, progress, cross):
+    def __init__(self, zone, me, nodes, cold_from, ramp, tip, multiple, quick, progress, cross):
         self.zone, self.me, self.nodes, self.quick, self.progress = zone, me, nodes, quick, progress
-        self.cold_from, self.ramp, self.tip, self.cross = cold_from, ramp, tip, cross
+        self.cold_from, self.ramp, self.tip, self.multiple, self.cross = cold_from, ramp, tip, multiple, cross
+        self.sends = Ring(SECOND, 4)
         self.all, self.listed, self.kinds, self.share = {}, [], {}, 0.0
         self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
         self.mean, self.slots, self.late, self.bias, self.floors = 0.0, {}, [0.0, 0.0], 0.0, {}
@@ -142,7 +143,9 @@
             e.state = "gone"
         for id, *row in rows:
             e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(str(id).encode())))
+            life = e.born
             e.list(*row)
+            e.told = e.told if e.born == life else now
             # The least that a start takes is the way's: of a large fleet's single executors a node sees so
             # few starts that each one's own least would be a wait itself, and overload would not show.
             e.floor = self.floors.setdefault(e.zone, [inf, inf])
@@ -167,6 +170,20 @@
     def warmth(self, e, now):
         return min(1.0, self.cold_from + (1 - self.cold_from) * max(now - e.born, 0) / self.ramp)
 
+    def budgeted(self, e, now):
+        """Rule 4 counts all nodes: each sends a young one its own part of what all may, and no sooner.
+
+        All of them may together send half the multiple that fells it, of a mean executor's load by warmth; this
+        node's part is as its forwards are to theirs. All hear of it at once: the nodes' numbers spread the first.
+        """
+        if e.born < now - self.ramp:
+            return True
+        part = self.multiple / 2 * self.warmth(e, now) * max(self.sends.total(now), 1)
+        gap = len(self.listed) * 4 * SECOND / part
+        if e.sent >= e.born:
+            return now >= e.sent + gap
+        return now >= e.told + gap * ((self.me + e.rank) % self.nodes / self.nodes)
+
     def ready(self, e, now):
         if e.shut > now or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
@@ -407,6 +424,8 @@
             e = self.choose(inv, some, now, thin) if some else None
             if e:
                 f = Forward(inv, e, now)
+                e.sent = now
+                fleet.sends.add(now)
                 if not self.starts:      # the design's second clock: the send plus the modelled wait
                     self.clock(f, now + int(e.wait))
                 if not thin and not fleet.ready(e, now):
@@ -430,12 +449,10 @@
         known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND
                           and e.born < young and e.wait <= fleet.quick
                           and (e.zone != fleet.zone) == inv.abroad]
-        for i in range(32 if fleet.listed else 0):
+        for _ in range(32 if fleet.listed else 0):
             e = self.chance.pick(known or fleet.listed)
-            # Rule 4: however few others are ready, a cold one is drawn at its part, by the first draws only.
-            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now) and (
-                e.born < young or i + 2 * inv.rounds < 4)
-            if fits and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
+            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
+            if fits and fleet.budgeted(e, now) and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
                 inv.asked, e.asked = [e], now
                 yield ("probe", e.id)
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -44,14 +44,14 @@
 class Executor:
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
-                 "asked", "weight")
+                 "asked", "weight", "sent", "told")
 
     def __init__(self, id, rank):
-        self.id, self.rank, self.heard, self.tier, self.out = id, rank, -inf, 0, {}
+        self.id, self.rank, self.heard, self.sent, self.tier, self.out = id, rank, -inf, -inf, 0, {}
         self.credit, self.speed, self.floor, self.born = 2.0, 1.0, [inf, inf], None
         self.work = self.busy = self.wait = 0.0
         self.full = {}      # by operation: until when it is not asked, having turned that away
-        self.shut = self.fails = self.cut = self.trimmed = self.used = self.asked = 0
+        self.shut = self.fails = self.cut = self.trimmed = self.used = self.asked = self.told = 0
 
     def list(self, zone, kind, cell, state, born, weight):
         if self.born is not None and born and born > self.born:
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -150,8 +150,8 @@
     chance = brain.Chance(seed)
     fleet = brain.Fleet(
         conf["zone"], me, nodes, rules["coldFrom"], tenths(rules["rampTimeMs"]), tenths(rules["tipAfterMs"]),
-        max(min(op.objective for op in operations.values()) // 10, 10), tenths(family["progressMs"]),
-        prices["crossZone"])
+        rules["fallMultiple"], max(min(op.objective for op in operations.values()) // 10, 10),
+        tenths(family["progressMs"]), prices["crossZone"])
     quotas = {row["name"]: row["quotaRps"] for row in conf["parties"]}
     return brain.Dispatcher(
         chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), operations,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -16,7 +16,7 @@
                probes=False, charged=False):
     ops = {"op": Operation("op", effect, group, window, 2_500, 2.0, 1.0)}
     chance = brain.Chance(seed)
-    fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 10_000, 250, progress, cross)
+    fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 10_000, 3.0, 250, progress, cross)
     return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares({}, nodes), ops, 50, cancels,
                             5, back, True, asks, cross, True, probes, charged)
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -407,3 +407,38 @@
         d.taken(100_000, 5, "op", None, 150_000, 1_000, 1)
         sent += any(pull(d, now, "probe") for now in range(100_000, 101_000, 100))
     assert sent < 200 * 3 / 20
+
+
+def test_waiting_shows_though_each_executor_is_hardly_known():
+    d = dispatcher(nodes=40, probes=True)      # guards against taking each executor's first start for its least
+    d.listed(10, True, rows(*range(20)))
+    for i in range(20):
+        f = SimpleNamespace(sent=10_000 + i, opened=False, guess=0)
+        d.fleet.began(d.fleet.all[i], f.sent + (20 if i == 0 else 3_000), f)
+    assert d.fleet.bias > 2_000 and d.fleet.late[0] > 0.8
+
+
+def test_many_young_executors_get_their_budget_from_all_nodes_together_and_no_more():
+    # Guards against the few old ones being overrun while the young stand idle, and against rule 4.
+    young, nodes, sent = range(100, 136), 40, {}
+    for me in range(nodes):
+        d = dispatcher(nodes=nodes, me=me, probes=True, seed=me)
+        d.listed(0, True, rows(*range(24)))
+        d.listed(120_000, False, rows(*young, born=100_000))
+        for e in d.fleet.listed[:]:
+            e.shut = 0 if e.id in young else 10 ** 9
+        for i in range(40):
+            d.fleet.sends.add(80_000 + i * 1_000)
+        for i in range(40):      # ten a second and node, from 2 s of the young ones' age on
+            now = 120_000 + i * 1_000
+            d.taken(now, i, "op", None, now + 50_000, 1_000, 1)
+            for _, id in pull(d, now, "probe"):
+                d.probed(now, id, "ok", 4, 1, None)
+            for _, inv, id, _ in pull(d, now, "forward"):
+                sent[id, now // 10_000] = sent.get((id, now // 10_000), 0) + 1
+                d.started(now, inv, 0)
+                d.ended(now, inv, 0, "ok", True)
+    mean = nodes * 10 / 60
+    for (_, second), n in sent.items():
+        assert n < 3 * d.fleet.warmth(d.fleet.all[100], second * 10_000) * mean
+    assert sum(sent.values()) > 4 * 36 * 0.3 * mean
