First ask for the list comes within two seconds of a start, later ones after failures

Seen in a log of herd+vast: 28 restarted nodes waited up to ten seconds before they asked for the list at all, and sent everything to the part of the old list that a release had left. Now the first ask is spread over a twentieth of a second a node, two seconds at most; a failure doubles that.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -284,9 +284,12 @@
         self.ask_fails = 0
 
     def unlisted(self, now):
-        """At start or after a failed ask: spread by the number of nodes, not to stampede; ever later."""
+        """At start or after a failed ask: spread by the number of nodes, not to stampede; ever later.
+
+        Widely only after a failure: until its list comes a node sends all it has to what is left of the old one.
+        """
         if self.asks:
-            spread = SECOND * min(0.3 * self.fleet.nodes, 10) * 2 ** self.ask_fails
+            spread = SECOND * min(0.05 * self.fleet.nodes, 2) * 2 ** self.ask_fails
             self.ask_fails = min(self.ask_fails + 1, 3)
             self.ask_at = now + int(spread * self.chance.draw()) + 1
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -309,6 +309,18 @@
     assert gaps[0] < 10_000 and gaps[3] > gaps[1]
 
 
+def test_after_a_mass_restart_all_nodes_ask_soon_but_not_at_once():
+    first = []      # guards against nodes that go on for seconds with a list from before a release
+    for seed in range(40):
+        d = dispatcher(asks=True, nodes=40, seed=seed)
+        d.unlisted(0)
+        first.append(next(now for now in range(0, 200_000, 100) if pull(d, now, "follow")))
+    assert max(first) <= 2 * 10_000 + 100 and max(first.count(at) for at in first) < 5
+    for _ in range(3):
+        d.unlisted(0)
+    assert d.fleet.nodes * 500 < max(d.ask_at for _ in range(9) if d.unlisted(0) is None) <= 8 * 2 * 10_000 + 1
+
+
 def test_same_decisions_under_any_hash_seed():
     code = ("import sys; sys.path.insert(0, 'tests')\nfrom helpers import *\nd = dispatcher()\n"
             "d.listed(10, True, rows(*range(9)))\n"
