Young executors whose budget has come are drawn before all others

Running times of young ones are as usual from their second second on, so it costs nothing to go there first, at the rate that rule 4 leaves this node.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -176,8 +176,6 @@
         All of them may together send half the multiple that fells it, of a mean executor's load by warmth; this
         node's part is as its forwards are to theirs. All hear of it at once: the nodes' numbers spread the first.
         """
-        if e.born < now - self.ramp:
-            return True
         part = self.multiple / 2 * self.warmth(e, now) * max(self.sends.total(now), 1)
         gap = len(self.listed) * 4 * SECOND / part
         if e.sent >= e.born:
@@ -452,10 +450,13 @@
         known = keep and [e for e in fleet.listed if not e.out and now < e.heard + 4 * SECOND
                           and e.born < young and e.wait <= fleet.quick
                           and (e.zone != fleet.zone) == inv.abroad]
+        # Young ones whose budget has come go before all: with many, the few old would else carry everything.
+        turn = [e for e in fleet.listed if e.born >= young and (e.zone != fleet.zone) == inv.abroad
+                and not e.asked and fleet.budgeted(e, now) and self.suits(inv, e, now) and fleet.ready(e, now)]
         for _ in range(32 if fleet.listed else 0):
-            e = self.chance.pick(known or fleet.listed)
-            fits = known or self.chance.draw() * fleet.top < e.weight * fleet.warmth(e, now)
-            if fits and fleet.budgeted(e, now) and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
+            e = self.chance.pick(turn or known or fleet.listed)
+            fits = turn or known or self.chance.draw() * fleet.top < e.weight and e.born < young
+            if fits and (e.zone != fleet.zone) == inv.abroad and not e.asked and (
                     self.suits(inv, e, now) and fleet.ready(e, now)):
                 inv.asked, e.asked = [e], now
                 yield ("probe", e.id)
