A list's odd lines cost one log line in all, and an older version is asked for anew

The fleet issue asks that a list with odd or repeated lines, an older version or thousands of entries is survived. One line without a name failed the whole list, each odd address had a log line of its own, and changes of an older version were applied. Now odd lines are left out and counted in one line, and after an older version the whole list is asked for.

--- a/grebedyke/wire/discovery.py
+++ b/grebedyke/wire/discovery.py
@@ -12,21 +12,36 @@
 
 def entries(listing):
     """(name, address, zone, kind, cell, state, since, weight) of each; states in the module's words."""
-    rows = []
+    rows, odd = [], []
     for row in listing.get("endpoints") or []:
-        name, address = row["name"], row.get("address") or ""
-        host, _, port = address.rpartition(":")
-        state = STATES.get(row.get("status"), "gone")
-        if state != "gone" and not (host and port.isdigit()):
-            # One odd line must not cost the others; without an address nothing can be sent there.
-            logger.warning("discovery: {} has no usable address", name)
+        # One odd line must not cost the others, nor thousands of them a log line each.
+        if not (isinstance(row, dict) and isinstance(row.get("name"), str) and row["name"]):
+            odd.append(str(row)[:40])
+            continue
+        name, address = row["name"], row.get("address")
+        host, _, port = address.rpartition(":") if isinstance(address, str) else ("", "", "")
+        state = STATES.get(row.get("status"), "gone") if isinstance(row.get("status"), str) else "gone"
+        if state != "gone" and not (host and port.isdigit() and 0 < int(port[:6]) < 65_536):
+            # Without an address nothing can be sent there.
+            odd.append(name[:40])
             state = "gone"
-        place = host, int(port) if port.isdigit() else 0
+        place = host, int(port) if port.isdigit() and len(port) < 6 else 0
         rows.append((name, place, row.get("zone"), row.get("type"), row.get("group"), state,
-                     row.get("since_ms") or 0, row.get("weight") or 1))
+                     figure(row.get("since_ms"), 0), figure(row.get("weight"), 1)))
+    if odd:
+        logger.warning("discovery: {} odd lines left out, the first: {}", len(odd), odd[0])
     return rows
 
 
+def figure(value, other):
+    """
+    >>> figure(2.5, 1), figure(None, 1), figure("x", 1), figure(-3, 0), figure(True, 0)
+    (2.5, 1, 1, 0, 0)
+    """
+    good = isinstance(value, (int, float)) and not isinstance(value, bool) and value > 0
+    return value if good else other
+
+
 class Agent(Connection):
     """The connection to discovery; a list may be far larger than a job's body."""
 
@@ -118,8 +133,14 @@
         if status != 200:
             raise ValueError(f"status {status}")
         listing = orjson.loads(body)
-        rows = entries(listing)
-        self.index, self.asking = int(listing["index"]), False
+        version, rows = int(listing["index"]), entries(listing)
+        self.asking = False
+        if self.index is not None and version < self.index:
+            # Of a copy that lags, or a discovery that began anew: changes would be applied to another list.
+            logger.warning("discovery: version {} after {}, the whole list is asked for", version, self.index)
+            self.index = None
+            return self.turn.after(PAUSE, self.ask)
+        self.index = version
         if self.down:
             logger.info("discovery answers again, version {}", self.index)
             self.down = False
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,6 +8,7 @@
 import orjson
 import pytest
 from helpers import HAND_IN, Loop, Told, floor, join, news, say, still
+from loguru import logger
 
 from grebedyke.service import configuration, node
 from grebedyke.service.assembly import assemble
@@ -243,6 +244,25 @@
     assert [(row[0], row[5]) for row in heard[0][2]] == [("s-0", "gone"), ("s-1", "healthy")]
 
 
+def test_a_list_of_odd_and_repeated_lines_or_an_older_version_is_survived():
+    odd = [None, 5, {}, {"name": 7}, {"name": ""}, {**ROW, "name": "s-9", "status": 3},
+           {**ROW, "name": "s-8", "address": "h:99999"}, {**ROW, "name": "s-7", "since_ms": "x", "weight": None}]
+    lines = []
+    sink = logger.add(lambda text: lines.append(str(text)))
+    try:
+        watch, heard, asked = lists({"index": 42, "snapshot": True, "endpoints": odd * 2_000 + [ROW, ROW]},
+                                    {"index": 7, "snapshot": False, "endpoints": [{**ROW, "status": "Gone"}]})
+    finally:
+        logger.remove(sink)
+    assert {row[0] for row in heard[0][2] if row[5] == "healthy"} == {"s-1", "s-7"} and len(heard) == 1
+    assert len(lines) == 2      # guards against a line each: the log is no part of the list
+    # What is older is not applied; the next ask is for the whole list, which is taken whatever its version.
+    assert watch.index is None and not watch.asking
+    next(call for _, _, call, _ in watch.turn.limits if call == watch.ask)(0)
+    watch.loop.go()
+    assert watch.agent.transport.written.endswith(b"GET /discovery/hosts HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n")
+
+
 def test_an_answer_that_is_no_list_or_silence_is_a_failed_watch():
     for answer in (b"{", b"[]", b'{"endpoints":[]}', b'{"index":1,"endpoints":[{}]}', None):
         watch, heard, _ = lists(*(() if answer is None else (answer,)))
