--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -226,10 +226,8 @@
         # All slots show when one is free; else the most seen of its kind stand in.
         slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), free and free + (held or 0))
         waiting = max(held - slots, 0) if waiting is None else waiting
-        # A quarter second is worked off as the report ages; where own work starts late, more came meanwhile.
-        aged = SECOND // 4 * (1 - self.late[e.zone != self.zone])
-        ahead = (waiting + 0.5) / slots * self.mean / e.speed - aged
-        e.wait = max(ahead, 0) if free < 0.5 else 0
+        ahead = (waiting + 0.5) / slots * self.mean / e.speed - SECOND // 4
+        e.wait = max(ahead, 0) if free < 0.5 else 0      # a quarter second is worked off as the report ages
 
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
