--- a/grebedyke/__main__.py
+++ b/grebedyke/__main__.py
@@ -22,7 +22,7 @@
         if flags.check:
             return 0
         # At a reload the file's word holds for what may change: the environment's is the one of the start.
-        read_again = partial(configuration.read_node, os.environ, ("name", "listen"))
+        read_again = partial(configuration.read_node, os.environ, ("name", "listen", "console"))
         asyncio.run(node.run(assembly.assemble, said, read_again))
     except configuration.Unusable as problem:
         log.logger.error("configuration: {}", problem)
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -1,8 +1,7 @@
 """All decisions of grebedyke: which worker gets an invocation, what is held, cut, restarted or given up.
 
-A host feeds one Dispatcher with what happens (taken, started, ended, listed, ...), then pulls decide(now)
-until it gives None. Calls, fields and decisions are defined at the top of grebedyke/ledger/__init__.py;
-docs/design.md says what follows the TAGS paper and when a departure acts."""
+A host feeds one Dispatcher with what happens, then pulls decide(now) until it gives None. The calls stand in
+grebedyke/ledger/__init__.py; docs/design.md says what follows the TAGS paper and when a departure acts."""
 from collections import deque
 from heapq import heappop, heappush
 from itertools import islice
@@ -115,7 +114,7 @@
         self.zone, self.me, self.nodes, self.quick, self.progress = zone, me, nodes, quick, progress
         self.cold_from, self.ramp, self.multiple, self.cross = cold_from, ramp, multiple, cross
         super().__init__(split)
-        self.sends, self.missed, self.levels, self.kinds, self.share = Ring(SECOND, 4), {}, {}, {}, 0.0
+        self.sends, self.missed, self.levels, self.kinds = Ring(SECOND, 4), {}, {}, {}
         self.pace, self.trims = 1.0, Ring(SECOND // 10, 5)
         self.mean, self.slots, self.late, self.bias = 0.0, {}, [0.0, 0.0], 0.0
 
@@ -139,7 +138,7 @@
         return now >= (e.sent + gap if e.sent >= e.born else e.told + gap * turn)
 
     def ready(self, e, now):
-        if e.shut > now or e.used >= max(1.0, e.credit * self.warmth(e, now)):
+        if e.shut > now or e.state != "healthy" or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
         # Who lends by a book sees all that a young one gets: its credit by warmth is enough.
         if not self.split and now - e.born < self.ramp and not self.spare(e, now):
@@ -178,9 +177,8 @@
             while level.get((e.kind, n + 1), 0) > 0.6:
                 n += 1
             e.credit = float(n)
-        elif wait <= self.quick:
-            if e.used >= e.credit - 1:
-                e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
+        elif wait <= self.quick and e.used >= e.credit - 1:
+            e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
         elif wait > 2 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
             e.credit, e.trimmed = max(0.1, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
@@ -252,9 +250,12 @@
 
     def listed(self, now, whole, rows):
         self.fleet.update(now, whole, rows)
-        self.fleet.lay(self.fleet.share)
         self.ask_fails, self.count = 0, self.count + 1
 
+    def by_hand(self, now, id, out):
+        self.count += 1
+        return self.fleet.by_hand(now, id, out)
+
     def unlisted(self, now):
         """At start or after a failed ask: spread by the number of nodes; widely only after a failure."""
         if self.asks:
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -6,6 +6,8 @@
 
     listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, born, weight),
                                state one of "healthy", "draining", "gone"; whole: rows replace the list
+    by_hand(now, id, out)      an operator bans an executor, or takes that back, beside whatever the list says;
+                               gives whether the list ever had it
     unlisted(now)              the node begins, or an ask for the list or the subscription failed
     taken(now, id, operation, tenant, due, hint, slots)   an invocation; due: the client gives up then
     started(now, id, n, opened) / progressed(now, id, n)   notes on forward n of an invocation; opened: a
@@ -48,7 +50,7 @@
 
 
 class Executor:
-    __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "state", "tier", "out", "credit", "work", "busy",
+    __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "said", "state", "tier", "out", "credit", "work", "busy",
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
                  "asked", "weight", "sent", "told", "group")
 
@@ -64,7 +66,7 @@
         if self.born is not None and born and born > self.born:
             # Restarted: what was known of its health is of its former life.
             self.shut, self.fails, self.full, self.credit = 0, 0, {}, min(self.credit, 2.0)
-        self.zone, self.kind, self.cell, self.state, self.weight = zone, kind, cell, state, weight
+        self.zone, self.kind, self.cell, self.said, self.weight = zone, kind, cell, state, weight
         self.born = born or -inf      # 0: long past
 
 
@@ -153,23 +155,51 @@
 
 
 class Roster:
-    """The list of executors as discovery and its changes have it; groups: by zone and hashed id, if split."""
+    """The executors as the list, its changes and operators' hands have them; groups: by zone and hashed id, if split.
+
+    >>> r, row = Roster(0), ("e", "a", "m", 0, "healthy", 0, 1)
+    >>> r.lay = lambda share: None
+    >>> r.update(10, True, [row]); r.by_hand(20, "e", True), r.by_hand(20, "x", True), r.all["e"].state
+    (True, False, 'banned')
+    >>> r.update(30, True, [row]); r.all["e"].state, r.by_hand(40, "e", False), r.all["e"].state, r.all["e"].born
+    ('banned', True, 'healthy', 40)
+    """
 
     def __init__(self, split):
         self.split, self.all, self.listed, self.groups, self.ranks, self.floors = split, {}, [], {}, {}, {}
-        self.top = 1
+        self.top, self.share = 1, 0.0
+        # By name, since the list may lose an executor that is out and have it again: out since when; who came
+        # back, out from when until when; every name that the list had of late.
+        self.banned, self.returned, self.names = {}, {}, {}
+
+    def by_hand(self, now, id, out):
+        """An operator's word, beside whatever the list says; False: the list never had it."""
+        e = self.all.get(id)
+        if out and id in self.names:
+            self.banned.setdefault(id, now)
+        elif id in self.banned:
+            # It was restarted meanwhile and is cold, though the list may not have told so yet.
+            self.returned[id] = self.banned.pop(id), now
+        self.update(now, False, [(id, e.zone, e.kind, e.cell, e.said, e.born, e.weight)] if e else [])
+        return id in self.names
 
     def update(self, now, whole, rows):
         for e in self.all.values() if whole else ():
-            e.state = "gone"
-        for id, *row in rows:
+            e.said = "gone"
+        for id, zone, kind, cell, state, born, weight in rows:
             e = self.all.get(id) or self.all.setdefault(id, Executor(id, crc32(str(id).encode())))
-            life = e.born
-            e.list(*row)
+            self.names.pop(id, None)
+            self.names[id], life = None, e.born
+            away, back = self.returned.get(id, (-inf, 0))
+            e.list(zone, kind, cell, state, born if born > away else back or born, weight)
             e.told = e.told if e.born == life else now
             # The least that a start takes is the way's: of a large fleet's single executors a node sees so
             # few starts that each one's own least would be a wait itself, and overload would not show.
             e.floor = self.floors.setdefault(e.zone, [inf, inf])
+        while len(self.names) > 4 * len(self.all) + 1_000:
+            del self.names[next(iter(self.names))]
+        for e in self.all.values():
+            e.state = "banned" if e.id in self.banned and e.said == "healthy" else e.said
         self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out or e.asked}
         self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: e.rank)
         self.top = max((e.weight for e in self.listed), default=1)
@@ -177,3 +207,4 @@
         for e in self.listed:
             e.group = (e.zone, e.rank % self.split) if self.split else None
             self.groups.setdefault(e.group, []).append(e)
+        self.lay(self.share)
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -2,9 +2,10 @@
 import resource
 
 from grebedyke.service.configuration import open_dispatcher, tenths
+from grebedyke.service.console import Console
 from grebedyke.service.desk import SECOND, Desk
 from grebedyke.service.log import Gauges
-from grebedyke.service.node import Node
+from grebedyke.service.node import Node, Phase
 from grebedyke.service.switch import switch
 from grebedyke.service.turn import Turn
 from grebedyke.wire.clients import Door
@@ -66,5 +67,6 @@
             watch.tune(again)
         return in_force
 
-    node = Node(loop, turn, gauges, pool, desk, door, watch, peers, said, longest_of(conf), read_again, renew)
+    console = Console(turn, lambda: node.phase == Phase.SERVING, desk.by_hand, sockets // 16)
+    node = Node(loop, turn, gauges, pool, desk, door, console, watch, peers, said, longest_of(conf), read_again, renew)
     return node
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -99,6 +99,8 @@
     Required("name"): All(str, Length(min=1)),
     Required("listen"): address,
     Required("discovery"): address,
+    # Where the operators call; without it nobody listens for them.
+    Optional("console", default=None): Any(None, address),
     Optional("seed", default="0"): object,
     Optional("limits", default=dict): table({Optional("sockets", default=1024): number(32)}),
     # Where nodes may tell each other things: all nodes' addresses for that, this one's too, by their numbers.
@@ -164,7 +166,7 @@
         conf["billedValueBy"] == "work", limits["probes"], int(limits["maxOpen"]))
 
 
-def read_node(environ, first=("name", "listen", "discovery")):
+def read_node(environ, first=("name", "listen", "discovery", "console")):
     """What a node is told: BALANCER_CONFIG names the file; `first`: where the environment goes before."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -109,6 +109,15 @@
     def unlisted(self, now):
         self.dispatcher.unlisted(now)
 
+    def by_hand(self, now, name, out):
+        if out:
+            # What still connects would reach an executor of which the operators were told that it is out.
+            for flight in [f for owed in self.owed.values() for f in owed.flights if f.endpoint.name == name]:
+                if flight.call and not (flight.done or flight.call.over or flight.call.sent()):
+                    flight.call.drop()
+                    self.end(now, flight, ledger.MOOT)
+        return self.dispatcher.by_hand(now, name, out)
+
     def heard(self, now, by, body):
         words.deliver(self.dispatcher, now, by, body)
 
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -36,9 +36,10 @@
     `renew(said)` gives the call that puts changed settings in force, or raises before anything has changed.
     """
 
-    def __init__(self, loop, turn, gauges, pool, desk, door, watch, peers, said, longest, read_again, renew):
+    def __init__(self, loop, turn, gauges, pool, desk, door, console, watch, peers, said, longest, read_again,
+                 renew):
         self.loop, self.turn, self.gauges, self.pool = loop, turn, gauges, pool
-        self.desk, self.door, self.watch, self.peers = desk, door, watch, peers
+        self.desk, self.door, self.console, self.watch, self.peers = desk, door, console, watch, peers
         self.said, self.longest, self.read_again, self.renew = said, longest, read_again, renew
         self.phase, self.stopped = Phase.STARTING, loop.create_future()
         # The list has Unix times, the module the monotonic clock's.
@@ -55,6 +56,9 @@
         self.turn.put(self.desk.listed, True, entries(self.said["known"]))
         if self.watch.again:
             self.watch.ask()
+        if self.said["console"]:
+            # Before all else that may take its time: "not ready" is an answer too.
+            await self.console.listen(self.loop, *self.said["console"])
         self.peers.move(self.said["peers"], int(self.said["settings"]["me"]))
         if self.peers.task:
             await self.peers.task
@@ -130,6 +134,7 @@
 
     def leave(self):
         self.door.shut()
+        self.console.close()
         if not self.stopped.done():
             self.stopped.set_result(None)
 
