--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -183,6 +183,16 @@
         self.update(now, False, [(id, e.zone, e.kind, e.cell, e.said, e.born, e.weight)] if e else [])
         return id in self.names
 
+    def books(self):
+        """What a process that goes on with this node's work has to know, in plain types; see `recall`."""
+        return {"rows": [(e.id, e.zone, e.kind, e.cell, e.said, max(e.born, 0), e.weight) for e in self.all.values()],
+                "banned": self.banned, "returned": self.returned, "names": [*self.names]}
+
+    def recall(self, now, books):
+        self.banned, self.returned = books["banned"], books["returned"]
+        self.names = dict.fromkeys(books["names"])
+        self.update(now, True, books["rows"])
+
     def update(self, now, whole, rows):
         for e in self.all.values() if whole else ():
             e.said = "gone"
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -4,6 +4,7 @@
 from grebedyke.service.configuration import open_dispatcher, tenths
 from grebedyke.service.console import Console
 from grebedyke.service.desk import SECOND, Desk
+from grebedyke.service.handover import Handover
 from grebedyke.service.log import Gauges
 from grebedyke.service.node import Node, Phase
 from grebedyke.service.switch import switch
@@ -67,6 +68,36 @@
             watch.tune(again)
         return in_force
 
-    console = Console(turn, lambda: node.phase == Phase.SERVING, desk.by_hand, sockets // 16)
-    node = Node(loop, turn, gauges, pool, desk, door, console, watch, peers, said, longest_of(conf), read_again, renew)
+    def books():
+        listing = {"address": watch.address, "index": watch.index}
+        return {"books": desk.books(), "listing": listing}, door.descriptor()
+
+    def recall(message):
+        turn.put(desk.recall, message["books"])
+        listing = message["listing"]
+        # Versions of another discovery would mean other lists.
+        watch.index = listing["index"] if tuple(listing["address"]) == watch.address else None
+
+    def heard_news(id, name, state, result, load):
+        turn.put(desk.news, id, name, state, result.encode(), load, False)
+
+    def shared(with_another):
+        pool.share(with_another)
+        if not with_another:
+            peers.again()
+
+    handover = Handover(loop, said["folder"], said["name"], books, {
+        "books": recall, "news": heard_news, "client": lambda **what: loop.create_task(door.adopt(**what)),
+        "hand": lambda name, out: turn.put(desk.by_hand, name, out)}, shared)
+    desk.tell_other = handover.tell
+
+    def by_hand(now, name, out):
+        known = desk.by_hand(now, name, out)
+        if known:
+            handover.tell("hand", name=name, out=out)
+        return known
+
+    console = Console(turn, lambda: node.phase == Phase.SERVING, by_hand, sockets // 16)
+    node = Node(loop, turn, gauges, pool, desk, door, console, watch, peers, handover, said, longest_of(conf),
+                read_again, renew)
     return node
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -102,6 +102,8 @@
     # Where the operators call; without it nobody listens for them.
     Optional("console", default=None): Any(None, address),
     Optional("seed", default="0"): object,
+    # Where this node's processes find each other when one takes over from another; without it none does.
+    Optional("folder", default=None): Any(None, str),
     Optional("limits", default=dict): table({Optional("sockets", default=1024): number(32)}),
     # Where nodes may tell each other things: all nodes' addresses for that, this one's too, by their numbers.
     Optional("peers", default=list): [address],
@@ -183,6 +185,7 @@
     for key in first:
         if environ.get(f"BALANCER_{key.upper()}"):
             said[key] = environ[f"BALANCER_{key.upper()}"]
+    said["folder"] = environ.get("TMPDIR")
     said = checked(NODE, said)
     conf = said["settings"] = terms(said["settings"], "settings.")
     if said["peers"] or conf["limits"]["peerMessages"] and conf["balancers"] > 1:
--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -21,6 +21,7 @@
         self.dispatcher, self.turn, self.pool, self.gauges = dispatcher, turn, pool, gauges
         self.tune(most_forwards, most_open, probe_path, probe_wait, margin, tick)
         self.owed, self.latest, self.watch, self.peers, self.shift = {}, None, None, None, 0
+        self.tell_other = None      # where two processes are one node: tells the other one
         self.deeds = {"forward": self.forward, "cancel": self.cancel, "throttle": self.throttle,
                       "error": self.error, "probe": self.probe, "wake": self.wake, "follow": self.follow,
                       "note": self.note, "tell": self.tell}
@@ -61,9 +62,14 @@
             self.dispatcher.left(now, owed.id)
             self.settle(owed)
 
-    def news(self, now, id, name, state, result, load=None):
-        """The effect comes once: by invocation and executor, and never on a forward that has ended."""
+    def news(self, now, id, name, state, result, load=None, ours=True):
+        """The effect comes once: by invocation and executor, and never on a forward that has ended.
+
+        `ours`: it came to this process; else another one of this node, on the same address, has passed it on.
+        """
         owed = self.owed.get(id.encode())
+        if not owed and ours:
+            self.tell_other("news", id=id, name=name, state=state, result=result.decode(), load=load)
         flight = owed and next((f for f in owed.flights if not f.done and f.endpoint.name == name), None)
         if not flight:
             return
@@ -109,6 +115,16 @@
     def unlisted(self, now):
         self.dispatcher.unlisted(now)
 
+    def books(self):
+        """For a process that goes on with this one's work: the executors with their addresses."""
+        return {"executors": self.dispatcher.fleet.books(), "places": [
+            (e.name, e.address, e.since) for e in self.pool.endpoints.values() if e.listed and e.address]}
+
+    def recall(self, now, books):
+        self.pool.listed(True, [(name, tuple(place), False, since) for name, place, since in books["places"]])
+        self.dispatcher.fleet.recall(now, books["executors"])
+        self.dispatcher.listed(now, False, [])
+
     def by_hand(self, now, name, out):
         if out:
             # What still connects would reach an executor of which the operators were told that it is out.
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -36,10 +36,11 @@
     `renew(said)` gives the call that puts changed settings in force, or raises before anything has changed.
     """
 
-    def __init__(self, loop, turn, gauges, pool, desk, door, console, watch, peers, said, longest, read_again,
-                 renew):
+    def __init__(self, loop, turn, gauges, pool, desk, door, console, watch, peers, handover, said, longest,
+                 read_again, renew):
         self.loop, self.turn, self.gauges, self.pool = loop, turn, gauges, pool
         self.desk, self.door, self.console, self.watch, self.peers = desk, door, console, watch, peers
+        self.handover = handover
         self.said, self.longest, self.read_again, self.renew = said, longest, read_again, renew
         self.phase, self.stopped = Phase.STARTING, loop.create_future()
         # The list has Unix times, the module the monotonic clock's.
@@ -54,6 +55,8 @@
     async def serve(self):
         self.turn.put(self.desk.unlisted)
         self.turn.put(self.desk.listed, True, entries(self.said["known"]))
+        # What a process knows that serves already goes before: the file's list may be old, and has no bans.
+        listener = await self.handover.inherit()
         if self.watch.again:
             self.watch.ask()
         if self.said["console"]:
@@ -62,13 +65,14 @@
         self.peers.move(self.said["peers"], int(self.said["settings"]["me"]))
         if self.peers.task:
             await self.peers.task
-            if not self.peers.transport:
+            if not (self.peers.transport or self.handover.old):
                 raise OSError("the address of this node in peers is in use or not this machine's")
-        await self.door.listen(self.loop, *self.said["listen"])
+        await self.door.listen(self.loop, *self.said["listen"], listener)
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.add_signal_handler(number, self.stop)
         self.loop.add_signal_handler(signal.SIGHUP, self.reload)
         self.enter(Phase.SERVING)
+        self.handover.offer()
         self.turn.after(SECOND, self.each_second, 1)
         self.turn.beat()
         self.loop.set_exception_handler(self.amiss)
@@ -117,14 +121,39 @@
         self.desk.latest = last
         for owed in list(self.desk.owed.values()):
             self.turn.at(last - self.desk.tick, self.desk.overslept, owed)
-        self.turn.after(LINGER, self.settle, last)
+        if self.handover.ready:
+            self.turn.put(self.give_over, last)
+        else:
+            self.turn.after(LINGER, self.settle, last)
+
+    def give_over(self, now, last):
+        """To the process that serves beside: the queue of connections, then each of them once it is at rest."""
+        if not self.handover.ready:
+            return self.settle(now, last)
+        self.door.deafen()
+        self.door.heir = self.hand
+        for client in self.door.movable():
+            self.hand(client)
+        if now <= last and (self.door.clients or any(owed.client for owed in self.desk.owed.values())):
+            return self.turn.at(now + SECOND // 200, self.give_over, last)
+        self.finish()
+
+    def hand(self, client):
+        if self.handover.ready:
+            self.handover.hand(client.transport.get_extra_info("socket"), good=client.good, caller=client.caller)
+            client.abort()      # this process's descriptor only; nothing is left to be written
 
     def settle(self, now, last):
         """Looked at in short steps: the last answer, or the last client's close, may come at any time."""
+        if self.handover.ready:
+            return self.give_over(now, last)
         if now >= last - WIND:
             self.door.wind_up()
         if now <= last and (self.door.served() or any(owed.client for owed in self.desk.owed.values())):
             return self.turn.at(now + SECOND // 50, self.settle, last)
+        self.finish()
+
+    def finish(self):
         self.watch.close()
         self.peers.close()
         self.gauges.report()
@@ -135,6 +164,7 @@
     def leave(self):
         self.door.shut()
         self.console.close()
+        self.handover.close()
         if not self.stopped.done():
             self.stopped.set_result(None)
 
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -1,4 +1,6 @@
 """The door: connections of clients and the call-backs of executors, on one address."""
+import socket
+
 import orjson
 from loguru import logger
 
@@ -63,6 +65,18 @@
                 self.send(http.CONTINUE)
         self.door.rest(self)
 
+    def movable(self):
+        """Nothing of it is half read, owed or still to be written here: another process can go on with it."""
+        done = self.owed is None and not self.last and not self.parser.begun() and not (self.out.used or self.body)
+        return (done and self.transport and not self.transport.is_closing()
+                and not self.transport.get_write_buffer_size())
+
+    def flush(self):
+        super().flush()
+        # At once: a client that has its answer may send its next message before anyone looks again.
+        if self.door.heir and self.movable():
+            self.door.heir(self)
+
     def close(self):
         # Answers wait for the turn's end; a connection may be closed in the turn of its last one.
         if self.transport and not self.transport.is_closing():
@@ -92,16 +106,49 @@
         # those with a message that is not whole yet.
         self.clients, self.idle, self.strangers, self.unsaid, self.usual = {}, {}, {}, {}, {}
         self.server, self.stopping, self.ending, self.up = None, False, False, False
+        self.heir = None      # takes a client that is at rest to the process that goes on with it
 
     def tune(self, operations, patience):
         self.operations, self.patience = operations, patience
 
-    async def listen(self, loop, host, port):
+    async def listen(self, loop, host, port, sock=None):
+        """`sock`: another process listens there already, and both take connections out of its one queue."""
+        if sock is None:
+            family = socket.AF_INET6 if ":" in host else socket.AF_INET
+            sock = socket.socket(family, socket.SOCK_STREAM)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            # For a successor that cannot be given this one.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            try:
+                sock.bind((host, port))
+            except OSError:
+                sock.close()
+                raise
         # The backlog holds a burst of connections while a turn runs.
-        self.server = await loop.create_server(lambda: Client(self), host, port, backlog=1024)
-        self.up = True
+        self.server = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
+        self.up, self.loop = True, loop
         self.look(self.turn.clock())
 
+    def descriptor(self):
+        return self.server.sockets[0].fileno()
+
+    def deafen(self):
+        """No more accepted here; whoever shares the queue takes what is in it."""
+        self.server.close()
+
+    async def adopt(self, fd, good, caller):
+        """A connection that another process has accepted, and that is between two messages."""
+        client = Client(self)
+        client.good, client.caller = good, caller
+        await self.loop.connect_accepted_socket(lambda: client, socket.socket(fileno=fd))
+        if good and client in self.unsaid and not client.parser.begun():
+            if not caller:
+                self.usual[client] = None
+            self.rest(client)
+
+    def movable(self):
+        return [client for client in self.clients if client.movable()]
+
     def opened(self, client):
         """Accepting must not meet the limit on descriptors: who never sent anything good makes room first.
 
--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -166,7 +166,7 @@
     """All executors' endpoints, and the limits that their connections share."""
 
     def __init__(self, loop, turn, keep, connect, most):
-        self.loop, self.turn, self.most = loop, turn, most
+        self.loop, self.turn, self.most, self.whole = loop, turn, most, most
         self.endpoints, self.lines, self.opening = {}, {}, 0
         # Lines may die sooner than the settings say, with a word or at the next message: `usable` is learnt.
         self.usable = keep
@@ -175,6 +175,10 @@
     def tune(self, keep, connect):
         self.keep, self.connect, self.usable = keep, connect, min(self.usable, keep)
 
+    def share(self, with_another):
+        """Two processes of one node hold no more lines than one may."""
+        self.most = self.whole // 2 if with_another else self.whole
+
     def went_stale(self, age):
         self.usable = min(self.usable, age // 2)
 
--- a/grebedyke/wire/peers.py
+++ b/grebedyke/wire/peers.py
@@ -35,6 +35,11 @@
         else:
             transport.close()
 
+    def again(self):
+        """The address was another process's of this node, which has ended now."""
+        if self.own and not self.transport:
+            self.task = self.loop.create_task(self.open(self.own))
+
     def datagram_received(self, data, address):
         # Whoever is not named could else lend executors, or tell that they are full.
         by = self.numbers.get(address)
