--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -181,7 +181,8 @@
             e.credit = min(e.credit + min(1 / e.credit, e.credit / 2), 64.0)
         elif wait > 2 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
-            e.credit, e.trimmed = max(0.1, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
+            runs = sum(g.began > 0 for g in e.out.values())      # so many slots are this node's just now
+            e.credit, e.trimmed = max(0.1, runs, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
             self.trims.add(now)
         # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
         e.shut = max(e.shut, now + int(took * max(1 / e.credit - 1, 0)))
@@ -236,8 +237,6 @@
 
 
 class Dispatcher:
-    """Invocations: hold, forward, cancel, answer."""
-
     def __init__(self, chance, cutoffs, fleet, shares, operations, tick, cancels, forwards, back, starts,
                  asks, cross, by_work, probes, most):
         self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -617,3 +617,20 @@
     heir = dispatcher(nodes=1)
     heir.fleet.recall(280_000, orjson.loads(orjson.dumps(d.fleet.books())))
     assert heir.fleet.sends.total(280_000) == d.fleet.sends.total(280_000) > 400
+
+
+def test_a_late_start_costs_no_credit_for_what_runs_there():
+    # One forward too many cut credit to under half; then most slots there stood idle until a long job had ended.
+    for running, credit in ((4, 4.0), (2, 2.4), (0, 2.4)):
+        d = dispatcher()
+        d.listed(10, True, rows("a"))
+        e = d.fleet.all["a"]
+        e.credit, e.floor[False] = 6.0, 20
+        for n in range(running + 1):
+            d.taken(20, n, "op", None, 40_000, 500, 1)
+        assert len(pull(d, 20, "forward")) == running + 1
+        for n in range(running):
+            d.started(40, n, 0)
+        e.credit = 6.0
+        d.started(40 + 5_000, running, 0)
+        assert isclose(e.credit, credit), (running, e.credit)
