--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -47,18 +47,21 @@
 
 
 def deduplicated(row):
-    if row["idempotency"] == "keyed" and row["windowMs"] is None:
-        raise Invalid("is missing", path=["windowMs"])
-    return row
+    # Guessed, they would let a repeat run twice.
+    for key in ("windowMs", "group") if row["idempotency"] == "keyed" else ():
+        if row[key] is None:
+            raise Invalid("is missing", path=[key])
+    return {**row, "group": row["group"] or "all"}
 
 
 OPERATION = All(table({
     Required("name"): str,
     Required("idempotency"): In(EFFECTS, msg="is unknown"),
-    Optional("group", default="all"): In(("all", "zone", "cell"), msg="is unknown"),
+    Optional("group", default=None): Any(None, "all", "zone", "cell", msg="is unknown"),
     Optional("windowMs", default=None): Any(None, number(0)),
     Required("latencyObjectiveMs"): number(0),
-    Optional("clientTimeoutMs", default=5_000): number(0),
+    # No default: with a guessed one a file that lacks a line would bind clients to what nobody has said.
+    Required("clientTimeoutMs"): number(0.1),
     Optional("aimStretch", default=0.0): number(0),
     Optional("billedValue", default=1.0): number(),
     Optional("overdueBilledValue", default=0.0): number(0)}), deduplicated)
@@ -75,8 +78,8 @@
         Required("drainGraceMs"): number(0), Required("fallMultiple"): number(1),
         Required("coldFrom"): number(0, 1), Required("rampTimeMs"): number(0),
         Required("tipAfterMs"): number(0.1)}),
-    Optional("limits", default=dict): table({
-        Optional("mayCancel", default=False): bool, Optional("maxForwards", default=1): number(1),
+    Required("limits"): table({
+        Optional("mayCancel", default=False): bool, Required("maxForwards"): number(1),
         Optional("retryAfter", default=False): bool, Optional("maxRetryAfterMs", default=0): number(0),
         Optional("probes", default=False): bool, Optional("peerMessages", default=False): bool,
         Optional("maxOpen", default=10 ** 6): number(1),
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -5,7 +5,7 @@
 from grebedyke.benchlink import adapter
 
 CONF = {"balancers": 1, "me": 0, "tickMs": 5, "zone": "a", "operations": [
-    {"name": "op", "idempotency": "safe", "latencyObjectiveMs": 200}], "rules": {
+    {"name": "op", "idempotency": "safe", "latencyObjectiveMs": 200, "clientTimeoutMs": 5000}], "limits": {"maxForwards": 1}, "rules": {
     "coldFrom": 0.3, "rampTimeMs": 8000, "tipAfterMs": 1000, "fallMultiple": 3, "drainGraceMs": 500}}
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -25,6 +25,9 @@
 ROW = {"name": "s-1", "address": "127.0.0.1:9", "zone": "a", "type": "m", "group": 0, "status": "Ready"}
 
 
+KEYED = {"name": "op", "idempotency": "keyed", "latencyObjectiveMs": 200, "clientTimeoutMs": 4000, "windowMs": 9, "group": "zone"}
+
+
 def free_port():
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
@@ -57,7 +60,13 @@
             (("settings", "operations"), [], "settings.operations is missing"),
             (("settings", "operations", 0, "idempotency"), "keyed", "settings.operations[0].windowMs is missing"),
             (("settings", "operations", 0, "group"), "row", "settings.operations[0].group is unknown"),
-            (("settings", "limits", "peerMessages"), "yes", "settings.limits.peerMessages"),
+            (("settings", "operations", 0), {**KEYED, "group": None}, "settings.operations[0].group is missing"),
+            (("settings", "operations", 0, "clientTimeoutMs"), None, "settings.operations[0].clientTimeoutMs is missing"),
+            (("settings", "operations", 0, "clientTimeoutMs"), 0, "settings.operations[0].clientTimeoutMs is out of its range"),
+            (("settings", "limits"), None, "settings.limits is missing"),
+            (("settings", "limits", "maxForwards"), None, "settings.limits.maxForwards is missing"),
+            (("settings", "limits", "maxForwards"), 0, "settings.limits.maxForwards is out of its range"),
+            (("settings", "limits"), {**TERMS["limits"], "peerMessages": "yes"}, "settings.limits.peerMessages"),
             (("peers",), ["x"], "peers[0] is not host:port"), (("peers",), ["h:1", "h:2"], "peers has 2 of 1 nodes"),
             (("settings", "registryMode"), "pull", "settings.registryMode is unknown"),
             (("settings", "familyInfo"), {"tellsStart": 1}, "settings.familyInfo.tellsStart")):
