SIGHUP at one process of a node counts for both; a file changed during a start is read again

Cause: while two processes serve, the signal reaches one of them; the other had read the file before, and one that starts or stops disregarded it. Also: a folder in the file goes before TMPDIR, as README says.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -88,7 +88,8 @@
 
     handover = Handover(loop, said["folder"], said["name"], books, {
         "books": recall, "news": heard_news, "client": lambda **what: loop.create_task(door.adopt(**what)),
-        "hand": lambda name, out: turn.put(desk.by_hand, name, out)}, shared)
+        "hand": lambda name, out: turn.put(desk.by_hand, name, out),
+        "reload": lambda: node.reload(passed_on=True)}, shared)
     desk.tell_other = handover.tell
 
     def by_hand(now, name, out):
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -188,7 +188,7 @@
     for key in first:
         if environ.get(f"BALANCER_{key.upper()}"):
             said[key] = environ[f"BALANCER_{key.upper()}"]
-    said["folder"] = environ.get("TMPDIR")
+    said.setdefault("folder", environ.get("TMPDIR"))
     said = checked(NODE, said)
     conf = said["settings"] = terms(said["settings"], "settings.")
     if said["peers"] or conf["limits"]["peerMessages"] and conf["balancers"] > 1:
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -78,8 +78,21 @@
         self.loop.set_exception_handler(self.amiss)
         gc.collect()
         gc.freeze()
+        if self.changed():
+            # Written since it was read: the signal that said so came too early, or to the process before.
+            self.reload(True)
         await self.stopped
 
+    def changed(self):
+        try:
+            said = self.read_again()
+        except Exception:
+            return True      # the reload says what is wrong
+        return self.differs(said)
+
+    def differs(self, said):
+        return any(said[key] != self.said[key] for key in ("settings", "peers"))
+
     def each_second(self, now, count):
         self.pool.sweep(now)
         if count % 5 == 0:
@@ -91,14 +104,18 @@
         if self.gauges.few("faults"):
             logger.opt(exception=context.get("exception")).error("loop: {}", context.get("message"))
 
-    def reload(self):
-        """Settings, the other nodes and discovery's address may change; a faulty file leaves all as it was."""
+    def reload(self, passed_on=False):
+        """Settings, the other nodes and discovery's address may change; a faulty file leaves all as it was.
+
+        `passed_on`: the signal went to another process of this node.
+        """
+        if not passed_on:
+            self.handover.tell("reload")
         if self.phase != Phase.SERVING:
             return
         try:
             said = self.read_again()
-            new = [said[key] != self.said[key] for key in ("settings", "peers")]
-            in_force = self.renew(said) if any(new) else None
+            in_force = self.renew(said) if self.differs(said) else None
         except Exception as problem:
             # Whatever is wrong with the file, the node goes on: ending here would be a crash.
             return logger.error("reload refused, the old configuration stays in force: {}", problem)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -100,7 +100,7 @@
                         known={"index": 1, "endpoints": known}, settings={**TERMS, "operations": EFFECTS})
             said = configuration.checked(configuration.NODE, said)
             said["settings"] = configuration.terms(said["settings"])
-            work = assemble(loop, said, None)
+            work = assemble(loop, said, lambda: said)
             return work, loop.create_task(work.serve()), said["console"]
 
         async def serving(work):
@@ -161,6 +161,54 @@
     assert sorted(jobs) == sorted(answers)      # each ran, and none twice
 
 
+def test_new_settings_reach_both_processes_and_one_that_is_starting(tmp_path):
+    # The signal goes to one process; the other read the file before it was changed.
+    file = tmp_path / "config.json"
+    said = told(folder=str(tmp_path), settings={**TERMS, "operations": EFFECTS})
+
+    def write(*names):
+        rows = [{**EFFECTS[0], "name": name} for name in names]
+        file.write_bytes(orjson.dumps({**said, "settings": {**TERMS, "operations": rows}}))
+
+    async def story():
+        loop, works, tasks = asyncio.get_running_loop(), [], []
+
+        def read():
+            return configuration.read_node({"BALANCER_CONFIG": str(file)})
+
+        def taken():
+            return [sorted(work.door.operations) for work in works]
+
+        async def start():
+            works.append(assemble(loop, read(), read))
+            write("a", "b")      # while it starts
+            tasks.append(loop.create_task(works[-1].serve()))
+            while works[-1].phase != node.Phase.SERVING:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+        write("a")
+        await start()
+        assert taken() == [["a", "b"]]
+        await start()
+        for i, names in ((0, "ac"), (1, "ad")):
+            write(*names)
+            works[i].reload()
+            await asyncio.sleep(0.05)
+            assert taken() == [[*names]] * 2
+        works[0].stop()
+        write("e")
+        works[0].reload()      # to the one that stops already
+        await asyncio.sleep(0.05)
+        assert taken()[1] == ["e"]
+        # A faulty file leaves both as they are.
+        file.write_bytes(b"{")
+        works[1].reload()
+        assert taken()[1] == ["e"]
+        works[1].stop()
+        await asyncio.gather(*tasks)
+    asyncio.run(story())
+
+
 def test_the_old_process_ends_with_0_and_the_new_one_answers(tmp_path):
     said = told()
     file = tmp_path / "config.json"
