--- a/grebedyke/service/handover.py
+++ b/grebedyke/service/handover.py
@@ -12,8 +12,9 @@
 VERSION = 1
 # A message travels in packets of this size; the mark before each tells whether one more follows.
 PIECE, MORE, LAST = 1 << 15, b"+", b"."
-# So many packets are read in one go, and so long a new process waits for the old one's word.
-AT_ONCE, ANSWER = 64, 1.0
+# So many packets are read in one go. So long a new process waits for the old one's word: that one may be short of
+# CPU just then, as the start takes its part, and without its word connections have to be closed.
+AT_ONCE, ANSWER = 64, 3.0
 
 
 class Channel:
