--- a/grebedyke/benchlink/adapter.py
+++ b/grebedyke/benchlink/adapter.py
@@ -61,7 +61,8 @@
 def action(node, decision):
     kind = decision[0]
     if kind == "forward":
-        return {"relay": {"node": node, "tid": decision[1], "executor": decision[2], "allowForMs": decision[3] / 10}}
+        return {"relay": {"node": node, "tid": decision[1], "executor": decision[2],
+                          "allowForMs": decision[3] / 10}}
     if kind == "probe":
         return {"healthCheck": {"node": node, "executor": decision[1]}}
     if kind == "tell":
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -115,7 +115,8 @@
         self.cold_from, self.ramp, self.multiple, self.cross = cold_from, ramp, multiple, cross
         super().__init__(split)
         self.missed, self.levels, self.kinds, self.slots = {}, {}, {}, {}
-        self.pace, self.mean, self.late, self.bias, self.trims = 1.0, 0.0, [0.0, 0.0], 0.0, Ring(SECOND // 10, 5)
+        self.pace, self.mean, self.late, self.bias = 1.0, 0.0, [0.0, 0.0], 0.0
+        self.trims = Ring(SECOND // 10, 5)
 
     def lay(self, share):
         """Tiers split each kind alike by hashed id; (workers, slots times speed) of each, for all nodes."""
@@ -182,7 +183,8 @@
         elif wait > 2 * self.quick and now > e.trimmed and self.trims.total(now) * 2 <= len(self.listed):
             # When all are slow at once the cause is not this executor: then most keep their credit.
             runs = sum(g.began > 0 for g in e.out.values())      # so many slots are this node's just now
-            e.credit, e.trimmed = max(0.1, runs, e.credit * max(0.4, 2 * self.quick / wait)), now + SECOND // 2
+            e.trimmed = now + SECOND // 2
+            e.credit = max(0.1, runs, e.credit * max(0.4, 2 * self.quick / wait))
             self.trims.add(now)
         # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
         e.shut = max(e.shut, now + int(took * max(1 / e.credit - 1, 0)))
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -6,8 +6,8 @@
 
     listed(now, whole, rows)   the executor list; a row is (id, zone, kind, cell, state, born, weight),
                                state one of "healthy", "draining", "gone"; whole: rows replace the list
-    by_hand(now, id, out)      an operator bans an executor, or takes that back, beside whatever the list says;
-                               gives whether the list ever had it
+    by_hand(now, id, out)      an operator bans an executor, or takes that back, beside whatever the
+                               list says; gives whether the list ever had it
     unlisted(now)              the node begins, or an ask for the list or the subscription failed
     taken(now, id, operation, tenant, due, hint, slots)   an invocation; due: the client gives up then
     started(now, id, n, opened) / progressed(now, id, n)   notes on forward n of an invocation; opened: a
@@ -15,7 +15,8 @@
     ended(now, id, n, outcome, closed, free)          how a forward ended; see OUTCOMES; free: slots that the
                                executor reported free with it, None without a report
     bid(now, (by, number), ...) / lent(now, by, number, rank) / refused(now, number, over)
-                               words of other nodes; wire/words.py delivers them, and what they say of forwards
+                               words of other nodes; wire/words.py delivers them, and what they say of
+                               forwards
                                as the calls above
     probed(now, id, outcome, free, held)              a probe's answer: free slots and work held there by the
                                executor's report, None for what it lacks
@@ -39,7 +40,8 @@
 
 
 class Operation:
-    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind", "mean",
+    __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind",
+                 "mean",
                  "span", "timeout")
 
     def __init__(self, name, effect, group, window, objective, stretch, value, late_value=0.0, kind=None,
@@ -50,7 +52,8 @@
 
 
 class Executor:
-    __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "said", "state", "tier", "out", "credit", "work", "busy",
+    __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "said", "state", "tier", "out", "credit",
+                 "work", "busy",
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
                  "asked", "weight", "sent", "told", "group")
 
@@ -71,18 +74,21 @@
 
 
 class Invocation:
-    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out", "tier",
+    __slots__ = ("id", "op", "arrived", "due", "size", "slots", "over", "latest", "first", "forwards", "out",
+                 "tier",
                  "done", "held", "key", "hint",
                  "rounds", "ask_at", "asked", "abroad",
                  "asker", "number", "tried", "asking", "group", "lent", "tenant")
 
     def __init__(self, id, op, arrived, due, size, hint, slots, over, tenant=None, asker=None):
         self.id, self.op, self.arrived, self.due = id, op, arrived, due
-        self.size, self.hint, self.slots, self.over, self.latest, self.first = size, hint, slots, over, due, arrived
+        self.size, self.hint, self.slots = size, hint, slots
+        self.over, self.latest, self.first = over, due, arrived
         self.forwards, self.out, self.tier, self.key = [], 0, 0, None
         self.done = self.held = False
         self.rounds, self.ask_at, self.asked, self.abroad = 0, 0, [], False
-        # asker: the node whose invocation it is, None: this one's; group: of executors kept here, to place it.
+        # asker: the node whose invocation it is, None: this one's; group: of executors kept here, to place
+        # it.
         self.asker, self.tenant = asker, tenant
         self.number = self.asking = self.group = self.lent = None
         self.tried = ()
@@ -98,7 +104,8 @@
                  "opened", "lender", "number", "far", "news", "load")
 
     def __init__(self, inv, tgt, sent, lender=None):
-        self.inv, self.n, self.tgt, self.sent, self.began, self.guess = inv, len(inv.forwards), tgt, sent, 0, tgt.wait
+        self.inv, self.n, self.tgt = inv, len(inv.forwards), tgt
+        self.sent, self.began, self.guess = sent, 0, tgt.wait
         self.cancelled = self.done = self.cut = self.unrun = self.opened = False
         # lender: the node by whose book it went, None: this one's; number: under which it was asked for.
         self.lender, self.number, self.far, self.news = lender, inv.number, 0, sent
@@ -156,14 +163,17 @@
 
 
 class Roster:
-    """The executors as the list, its changes and operators' hands have them; groups: by zone and hashed id, if split.
+    """The executors as the list, its changes and operators' hands have them; groups: by zone and hashed
+    id, if split.
 
     >>> r, row = Roster(0), ("e", "a", "m", 0, "healthy", 0, 1)
     >>> r.lay = lambda share: None
     >>> r.update(10, True, [row]); r.by_hand(20, "e", True), r.by_hand(20, "x", True), r.all["e"].state
     (True, False, 'banned')
-    >>> r.update(30, True, [row]); r.all["e"].state, r.by_hand(40, "e", False), r.all["e"].state, r.all["e"].born
-    ('banned', True, 'healthy', 40)
+    >>> r.update(30, True, [row]); r.all["e"].state, r.by_hand(40, "e", False)
+    ('banned', True)
+    >>> r.all["e"].state, r.all["e"].born
+    ('healthy', 40)
     """
 
     def __init__(self, split):
@@ -186,7 +196,8 @@
 
     def books(self):
         """What a process that goes on with this node's work has to know, in plain types; see `recall`."""
-        return {"rows": [(e.id, e.zone, e.kind, e.cell, e.said, max(e.born, 0), e.weight) for e in self.all.values()],
+        return {"rows": [(e.id, e.zone, e.kind, e.cell, e.said, max(e.born, 0), e.weight)
+                         for e in self.all.values()],
                 "banned": self.banned, "returned": self.returned, "names": [*self.names],
                 "sends": (self.sends.marks, self.sends.sums)}
 
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -45,7 +45,8 @@
     # waits; the rest is for log, loop, discovery and newcomers that are told to come back later.
     pool = Pool(loop, turn, *for_pool, sockets // 4)
     desk = Desk(dispatcher, turn, pool, gauges, *for_desk)
-    door = Door(turn, operations, desk.take, desk.news, desk.left, sockets * 5 // 8, sockets * 3 // 10, patience)
+    door = Door(turn, operations, desk.take, desk.news, desk.left, sockets * 5 // 8, sockets * 3 // 10,
+                patience)
     # Short waits: what an agent has counts as told 2 s after the wait, and one that fell silent is asked anew
     # before that.
     watch = desk.watch = Watch(loop, turn, *said["discovery"], said["known"].get("index"), 2 * SECOND, SECOND,
--- a/grebedyke/service/console.py
+++ b/grebedyke/service/console.py
@@ -1,6 +1,7 @@
 """The operators' calls on the second address: HTTP/1.1, one call to a connection.
 
-A call is told to the rest of the node as an input like any other, and answered in the turn that hands it over.
+A call is told to the rest of the node as an input like any other, and answered in the turn that hands it
+over.
 """
 from urllib.parse import unquote_to_bytes
 
@@ -55,7 +56,8 @@
     """`ready()` tells whether the node serves; `by_hand(now, name, out)` whether it knows that executor."""
 
     def __init__(self, turn, ready, by_hand, most):
-        self.turn, self.ready, self.by_hand, self.most, self.callers, self.server = turn, ready, by_hand, most, {}, None
+        self.turn, self.ready, self.by_hand, self.most = turn, ready, by_hand, most
+        self.callers, self.server = {}, None
 
     async def listen(self, loop, host, port):
         self.server = await loop.create_server(lambda: Caller(self), host, port, backlog=256)
--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -184,8 +184,8 @@
         """The forward's time is over: what never left this machine provably never ran."""
         if not flight.done and flight.call:
             if flight.owed.client and now >= flight.owed.due - 2 * self.tick:
-                # A stop or a stall has cut its time: the module, which reckons with the client's own, would send
-                # it again at once, beside a forward that its executor does not know to be given up.
+                # A stop or a stall has cut its time: the module, which reckons with the client's own, would
+                # send it again at once, beside a forward that its executor does not know to be given up.
                 return self.overslept(now, flight.owed)
             unsent = not (flight.accepted or flight.began or flight.call.over or flight.call.sent())
             outcome = ledger.NO_CONNECTION if unsent else ledger.TIMEOUT
@@ -193,10 +193,12 @@
             self.end(now, flight, outcome)      # now: there is no time for another, and an answer is due
 
     def unheard(self, now, flight):
-        """Neither 202 nor news: a connection may fall silent without an end, and all the forward's time with it."""
+        """Neither 202 nor news: a connection may fall silent without an end, and all the forward's time
+        with it."""
         if not (flight.done or flight.accepted or flight.began or flight.call.over):
             outcome = ledger.RESET if flight.call.sent() else ledger.NO_CONNECTION
-            # The 202 may be under way, or the line's end slower than the next forward: told by DELETE as well.
+            # The 202 may be under way, or the line's end slower than the next forward: told by DELETE as
+            # well.
             flight.call.drop()
             self.give_up(flight, outcome)
 
--- a/grebedyke/service/handover.py
+++ b/grebedyke/service/handover.py
@@ -1,6 +1,8 @@
-"""The handover between two processes of one node: the old one serves until the new one does, and gives it all it has.
+"""The handover between two processes of one node: the old one serves until the new one does, and gives it
+all it has.
 
-They share a line in a folder that only this node's processes see. Each keeps its own invocations; what comes to
+They share a line in a folder that only this node's processes see. Each keeps its own invocations; what
+comes to
 the wrong process goes over the line.
 """
 import os
@@ -12,13 +14,14 @@
 VERSION = 1
 # A message travels in packets of this size; the mark before each tells whether one more follows.
 PIECE, MORE, LAST = 1 << 15, b"+", b"."
-# So many packets are read in one go. So long a new process waits for the old one's word: that one may be short of
-# CPU just then, as the start takes its part, and without its word connections have to be closed.
+# So many packets are read in one go. So long a new process waits for the old one's word: that one may be
+# short of CPU just then, as the start takes its part, and without its word connections have to be closed.
 AT_ONCE, ANSWER = 64, 3.0
 
 
 class Channel:
-    """Whole messages, in order, each with the descriptors that it is about; `heard(channel, message, fds)`."""
+    """Whole messages, in order, each with the descriptors that it is about; `heard(channel, message,
+    fds)`."""
 
     def __init__(self, loop, sock, heard, ended):
         self.loop, self.sock, self.heard, self.ended = loop, sock, heard, ended
@@ -86,7 +89,8 @@
 
 
 class Handover:
-    """`books()`: what a new process is given, with the listener's descriptor; `take`: calls by kind of message.
+    """`books()`: what a new process is given, with the listener's descriptor; `take`: calls by kind of
+    message.
 
     `shared(with_whom)` is told when there is another process, and when there is none any more.
     """
@@ -100,7 +104,8 @@
     # The new process's side.
 
     async def inherit(self):
-        """The listening socket of the process that serves now, once its books are here; None: there is none."""
+        """The listening socket of the process that serves now, once its books are here; None: there is
+        none."""
         if not self.path:
             return None
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -144,7 +144,8 @@
             self.turn.after(LINGER, self.settle, last)
 
     def give_over(self, now, last):
-        """To the process that serves beside: the queue of connections, then each of them once it is at rest."""
+        """To the process that serves beside: the queue of connections, then each of them once it is at
+        rest."""
         if not self.handover.ready:
             return self.settle(now, last)
         self.door.deafen()
@@ -157,7 +158,8 @@
 
     def hand(self, client):
         if self.handover.ready:
-            self.handover.hand(client.transport.get_extra_info("socket"), good=client.good, caller=client.caller)
+            self.handover.hand(client.transport.get_extra_info("socket"), good=client.good,
+                               caller=client.caller)
             client.abort()      # this process's descriptor only; nothing is left to be written
 
     def settle(self, now, last):
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -10,7 +10,8 @@
 NEWS, UP = b"/_jobs/news", b"/up"
 # Short of descriptors, a message may take this long to become whole: an honest peer has written it by then.
 SLOW, UNREAD = 3_000, 300
-# From its connecting on, who has not yet sent anything good is told so or closed within 3 s, trickling or silent.
+# From its connecting on, who has not yet sent anything good is told so or closed within 3 s, trickling or
+# silent.
 GREETING, LOOK = 22_000, 2_500
 # After an error that ends a connection, so much of what still comes is read, for so long: a close before that
 # could reset the answer, and reading all of a huge body would take the node's time from others.
@@ -67,7 +68,8 @@
 
     def movable(self):
         """Nothing of it is half read, owed or still to be written here: another process can go on with it."""
-        done = self.owed is None and not self.last and not self.parser.begun() and not (self.out.used or self.body)
+        done = self.owed is None and not self.last and not self.parser.begun() and not (self.out.used
+                                                                                        or self.body)
         return (done and self.transport and not self.transport.is_closing()
                 and not self.transport.get_write_buffer_size())
 
@@ -100,7 +102,8 @@
     """Listens; hands invocations to `take`, call-backs to `news`, and tells `leave` of clients that left."""
 
     def __init__(self, turn, operations, take, news, leave, most, share, patience):
-        self.turn, self.take, self.news, self.leave, self.most, self.share = turn, take, news, leave, most, share
+        self.turn, self.take, self.news, self.leave = turn, take, news, leave
+        self.most, self.share = most, share
         self.tune(operations, patience)
         # Of the clients, longest first: those between two messages that were good, those that never were, and
         # those with a message that is not whole yet.
@@ -152,7 +155,8 @@
     def opened(self, client):
         """Accepting must not meet the limit on descriptors: who never sent anything good makes room first.
 
-        Clients that were good may have nothing but their open connection, and a crowd comes by hundreds. Never
+        Clients that were good may have nothing but their open connection, and a crowd comes by hundreds.
+        Never
         the newcomer: its invocation may be with the kernel already, and would be lost with it.
         """
         now = self.turn.clock()
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -18,7 +18,8 @@
     ops = {"op": Operation("op", effect, group, window, 2_500, 2.0, 1.0)}
     chance = Chance(seed)
     fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 3.0, 250, progress, cross, split)
-    return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(tenants or {}, nodes), ops, 50,
+    return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(tenants or {}, nodes),
+                            ops, 50,
                             cancels, 5, back, starts, asks, cross, True, probes, 1_000)
 
 
@@ -186,5 +187,6 @@
     return b"POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body) + body
 
 
-__all__ = ["DEDUPLICATED", "HAND_IN", "IDEMPOTENT", "NON_IDEMPOTENT", "NOW", "Several", "dispatcher", "floor", "join", "news",
+__all__ = ["DEDUPLICATED", "HAND_IN", "IDEMPOTENT", "NON_IDEMPOTENT", "NOW", "Several", "dispatcher", "floor",
+           "join", "news",
            "pull", "rows", "say", "still"]
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -5,7 +5,8 @@
 from grebedyke.benchlink import adapter
 
 CONF = {"balancers": 1, "me": 0, "tickMs": 5, "zone": "a", "operations": [
-    {"name": "op", "idempotency": "safe", "latencyObjectiveMs": 200, "clientTimeoutMs": 5000}], "limits": {"maxForwards": 1}, "rules": {
+    {"name": "op", "idempotency": "safe", "latencyObjectiveMs": 200, "clientTimeoutMs": 5000}],
+    "limits": {"maxForwards": 1}, "rules": {
     "coldFrom": 0.3, "rampTimeMs": 8000, "tipAfterMs": 1000, "fallMultiple": 3, "drainGraceMs": 500}}
 
 
@@ -16,7 +17,8 @@
 
 
 def test_bad_lines_end_with_one_plain_line():
-    for line, word in ((b"{", "not JSON"), ({"in": []}, "clock"), ({"tMs": 1.0}, "events"), ([], "not an object"),
+    for line, word in ((b"{", "not JSON"), ({"in": []}, "clock"), ({"tMs": 1.0}, "events"),
+                       ([], "not an object"),
                        ({"tMs": 1, "in": [3]}, "event 0")):
         code, replies, err = run({"tMs": 0.0, "in": []}, line)
         assert code == 2 and replies == [[]] and err.count("\n") == 1 and "line 2" in err and word in err
@@ -32,7 +34,8 @@
 
 def test_unknown_events_and_ids_are_disregarded_and_work_is_done():
     boot = [{"boot": {"node": 1, "prng": 1, "conf": {**CONF, "novel": 1}}}, {"rosterChange": {
-        "node": 1, "form": "stale_copy", "hosts": [{"executor": 4, "failureDomain": "a", "availability": "healthy"}]}}]
+        "node": 1, "form": "stale_copy",
+        "hosts": [{"executor": 4, "failureDomain": "a", "availability": "healthy"}]}}]
     order = {"order": {"node": 1, "tid": 9, "tierClass": "op", "dueMs": 4000.0, "odd": 1}}
     stray = [{"novel": {"node": 1}}, {"vanished": {"node": 1, "tid": 77}},
              {"attemptEnd": {"node": 1, "tid": 77, "attempt": 0, "reason": 0, "executor": 5, "tookMs": 1}}]
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -8,7 +8,8 @@
 import orjson
 
 from grebedyke import brain
-from grebedyke.ledger import CANCELLED, DEDUPLICATED, FAULT, FULL, IDEMPOTENT, NO_CONNECTION, NON_IDEMPOTENT, RESET, TIMEOUT
+from grebedyke.ledger import CANCELLED, DEDUPLICATED, FAULT, FULL, IDEMPOTENT, NO_CONNECTION, NON_IDEMPOTENT
+from grebedyke.ledger import RESET, TIMEOUT
 from grebedyke.ledger import OK, Chance, Operation
 from grebedyke.wire import words
 
@@ -16,7 +17,7 @@
 
 
 def test_again_or_throttled_only_as_the_operation_allows():
-    cases = [  # effect, group, outcome, zone of the other executor, what follows at once, what follows too late
+    cases = [  # effect, group, outcome, the other executor's zone, what follows at once, what too late
         (IDEMPOTENT, "zone", TIMEOUT, "b", "forward", "throttle"),
         (NON_IDEMPOTENT, "all", FULL, "b", "forward", "throttle"),
         (NON_IDEMPOTENT, "all", NO_CONNECTION, "b", "forward", "throttle"),
@@ -104,7 +105,8 @@
     d.taken(20, 7, "other", None, 50_020, 1_000, 1)
     assert [x[1] for x in pull(d, 20, "forward")] == [7]
     d.started(30, 7, 0)
-    for now, op, credit in ((11_000, "op", 3.0), (11_010, "other", 1.0)):      # all turned away: it is full indeed
+    # All turned away: it is full indeed.
+    for now, op, credit in ((11_000, "op", 3.0), (11_010, "other", 1.0)):
         d.fleet.all[1].credit = 3.0
         d.taken(now, now, op, None, now + 50_000, 1_000, 1)
         pull(d, now)
@@ -133,7 +135,8 @@
 
 
 def test_late_starts_cost_credit_and_then_a_rest():
-    for late, under in ((300, False), (2_000, True)):      # guards against many nodes keeping queues at few slots
+    # Guards against many nodes keeping queues at few slots.
+    for late, under in ((300, False), (2_000, True)):
         d = dispatcher()
         d.listed(10, True, rows(1))
         for i, wait in enumerate((10, late, late)):
@@ -162,7 +165,8 @@
 
 def test_a_reset_between_answers_does_not_write_an_executor_off():
     # guards against a few broken connections that leave a node without executors
-    for outcomes, off in (((RESET,), False), ((RESET, "ok", RESET), False), ((RESET, RESET), True), ((FAULT,), True)):
+    for outcomes, off in (((RESET,), False), ((RESET, "ok", RESET), False),
+                          ((RESET, RESET), True), ((FAULT,), True)):
         d = dispatcher()
         d.listed(10, True, rows(1))
         for i, outcome in enumerate(outcomes):
@@ -321,7 +325,8 @@
     assert max(first) <= 2 * 10_000 + 100 and max(first.count(at) for at in first) < 5
     for _ in range(3):
         d.unlisted(0)
-    assert d.fleet.nodes * 500 < max(d.ask_at for _ in range(9) if d.unlisted(0) is None) <= 8 * 2 * 10_000 + 1
+    latest = max(d.ask_at for _ in range(9) if d.unlisted(0) is None)
+    assert d.fleet.nodes * 500 < latest <= 8 * 2 * 10_000 + 1
 
 
 def test_same_decisions_under_any_hash_seed():
@@ -345,7 +350,8 @@
 
 
 def test_when_all_asked_are_full_the_answer_comes_soon():
-    d = dispatcher(nodes=200, probes=True, back=20_000)      # guards against sitting on what cannot be in time
+    # Guards against sitting on what cannot be in time.
+    d = dispatcher(nodes=200, probes=True, back=20_000)
     d.listed(10, True, rows(1, 2, 3, 4))
     d.taken(10, 5, "op", None, 50_000, 1_000, 1)
     seen = {}
@@ -358,7 +364,8 @@
 
 
 def test_late_starts_at_home_send_a_part_abroad():
-    for wait, more in ((2_000, True), (0, False)):      # guards against a zone with more than its workers can carry
+    # Guards against a zone with more than its workers can carry.
+    for wait, more in ((2_000, True), (0, False)):
         d, abroad = dispatcher(nodes=200, cross=0.1, probes=True), 0
         d.listed(10, True, rows(1) + rows(2, zone="b"))
         for i in range(40):
@@ -387,7 +394,8 @@
 
 
 def test_a_short_reported_queue_is_worked_off_before_the_work_arrives():
-    for held, taken in ((5, True), (40, False)):      # guards against all nodes leaving at the first late word of a queue
+    # Guards against all nodes leaving at the first late word of a queue.
+    for held, taken in ((5, True), (40, False)):
         d = dispatcher(nodes=200, probes=True)
         d.listed(10, True, rows(1))
         d.fleet.slots["std"] = 4
@@ -410,7 +418,8 @@
 
 
 def test_waiting_shows_though_each_executor_is_hardly_known():
-    d = dispatcher(nodes=40, probes=True)      # guards against taking each executor's first start for its least
+    # Guards against taking each executor's first start for its least.
+    d = dispatcher(nodes=40, probes=True)
     d.listed(10, True, rows(*range(20)))
     for i in range(20):
         f = SimpleNamespace(sent=10_000 + i, opened=False, guess=0)
@@ -420,8 +429,8 @@
 
 
 def test_many_young_executors_get_their_budget_from_all_nodes_together_and_no_more():
-    # Guards against few old ones being overrun while the young stand idle (whether or not the old have room: that
-    # is known late), and against rule 4.
+    # Guards against few old ones being overrun while the young stand idle (whether or not the old have room:
+    # that is known late), and against rule 4.
     young, nodes = range(100, 136), 40
     for old_have_room in (True, False):
         sent = {}
@@ -516,14 +525,18 @@
     d.fleet.keeper = lambda group, now, silent=False: 0
     rank = d.fleet.listed[0].rank
     plain = ("ask", 7, rank, 40_000, 1_000, 0, 1, 0, 0, 0, 0)
-    for by, word in ((1, plain), (1, plain), (9, plain), (-1, plain), (0, plain), (2, ("ask", 7, 99, *plain[3:])),
-                     (2, (*plain[:8], 200, 0, 0)), (2, ("ask", 8, rank, 2 ** 32 - 1, 2 ** 32 - 1, 255, 255, 255, 0, 255, 1)),
-                     (3, ("lend", 7, rank)), (3, ("lend", 7, 5)), (3, ("none", 7, True)), (3, ("began", 7, 2 ** 32 - 1, True)),
+    for by, word in ((1, plain), (1, plain), (9, plain), (-1, plain), (0, plain),
+                     (2, ("ask", 7, 99, *plain[3:])),
+                     (2, (*plain[:8], 200, 0, 0)),
+            (2, ("ask", 8, rank, 2 ** 32 - 1, 2 ** 32 - 1, 255, 255, 255, 0, 255, 1)),
+                     (3, ("lend", 7, rank)), (3, ("lend", 7, 5)), (3, ("none", 7, True)),
+            (3, ("began", 7, 2 ** 32 - 1, True)),
                      (3, ("news", 7)), (3, ("end", 7, OK, 25.0)), (3, ("end", 7, FAULT, None))):
         words.deliver(d, 20, by, words.pack(*word))
     told = pull(d, 20, "tell")
     assert sorted((x[1], x[2]) for x in told if x[2] == "lend") == [(1, "lend"), (2, "lend")]
-    assert [x[1:] for x in told if x[2] == "end"] == [(3, "end", 7, "moot", None)] * 2      # nothing of it is used
+    # Nothing of it is used.
+    assert [x[1:] for x in told if x[2] == "end"] == [(3, "end", 7, "moot", None)] * 2
     assert all(inv.due <= 20 + inv.op.timeout and inv.size <= inv.op.timeout and inv.slots <= 64
                for inv in d.invs.values())
     for word in (("end", 7, OK, None), ("end", 7, OK, None), ("began", 7, 10, False), ("news", 7)):
@@ -533,7 +546,8 @@
 
 
 def test_a_young_executor_gets_no_more_than_its_part_from_all_nodes_together():
-    s = Several(20, rows(1, born=9_000) + rows(*range(2, 8)))      # guards rule 4 where nodes lend by one book
+    # Guards rule 4 where nodes lend by one book.
+    s = Several(20, rows(1, born=9_000) + rows(*range(2, 8)))
     work, queues = {}, {}
     for i in range(400):      # a hundred a second
         now = 10_100 + 100 * i
@@ -554,7 +568,8 @@
 
 
 def test_only_the_surplus_of_a_tenant_is_over_its_share():
-    for rate, parts, passed in ((5, 1, 50), (20, 1, 110), (20, 2, 55), (1, 10, 10)):      # quota: ten a second
+    # Quota: ten a second.
+    for rate, parts, passed in ((5, 1, 50), (20, 1, 110), (20, 2, 55), (1, 10, 10)):
         shares = brain.Shares({"t": 10.0}, 1)
         within = sum(not shares.over(i * 10_000 // rate, "t", parts) for i in range(10 * rate))
         assert abs(within - passed) <= 1, (rate, parts, within)
@@ -562,7 +577,8 @@
 
 
 def test_without_start_notes_credit_is_the_slots_that_reports_show_free():
-    d = dispatcher(starts=False, split=1)      # guards against half of the slots left empty, as no start earns credit
+    # Guards against half of the slots left empty, as no start earns credit.
+    d = dispatcher(starts=False, split=1)
     d.listed(10, True, rows(1, 2))
     for now, free, credit in ((1_000, 3.9, 4), (2_000, 0.2, 4), (3_000, None, 4)):
         d.taken(now, now, "op", None, now + 50_000, 1_000, 1)
@@ -570,7 +586,8 @@
         d.ended(now + 500, id, 0, OK, True, free)
         assert d.fleet.all[e].credit == credit or free is None
     d.listed(4_000, True, rows(1))
-    for free, credit in ((1.0, 6.0), (0.0, 4.0)):      # a full book that reports belie, and one that they bear out
+    # A full book that reports belie, and one that they bear out.
+    for free, credit in ((1.0, 6.0), (0.0, 4.0)):
         for now in range(5_000, 605_000, 10_000):
             d.taken(now, now, "op", None, now + 50_000, 1_000, 1)
             (_, id, e, _), = pull(d, now, "forward")
@@ -581,7 +598,8 @@
 
 
 def test_work_of_several_slots_waits_for_room_and_not_for_ever():
-    for now, sent in ((20, 0), (9_000, 1)):      # guards against a head that blocks a queue while others have room
+    # Guards against a head that blocks a queue while others have room.
+    for now, sent in ((20, 0), (9_000, 1)):
         d = dispatcher(split=1)
         d.listed(10, True, rows(1))
         d.fleet.all[1].credit = 4.0
@@ -593,7 +611,8 @@
 
 
 def test_a_fleet_of_young_executors_does_not_starve_itself():
-    # A budget by the last four seconds' sends shrank with what it let through: 8, 4 and then 0 of 40 a second went out.
+    # A budget by the last four seconds' sends shrank with what it let through: 8, 4 and then 0 of 40 a second
+    # went out.
     d = dispatcher(nodes=1)
     d.listed(10, True, rows(*"abcdefg"))
     sent, running = {}, []
@@ -620,7 +639,8 @@
 
 
 def test_a_late_start_costs_no_credit_for_what_runs_there():
-    # One forward too many cut credit to under half; then most slots there stood idle until a long job had ended.
+    # One forward too many cut credit to under half; then most slots there stood idle until a long job had
+    # ended.
     for running, credit in ((4, 4.0), (2, 2.4), (0, 2.4)):
         d = dispatcher()
         d.listed(10, True, rows("a"))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,7 +44,8 @@
         here.close()
         here.send({"n": 3})      # nobody is there: nothing
         await asyncio.wait_for(done, 2)
-        assert got == [(1, word, [inode]) for word in words] + [(0, None, []), (1, None, [])] and there.sock is None
+        assert got == [(1, word, [inode]) for word in words] + [(0, None, []),
+                                                                (1, None, [])] and there.sock is None
     asyncio.run(story())
 
 
@@ -53,7 +54,8 @@
         loop, taken, listening = asyncio.get_running_loop(), [], socket.socket()
 
         def process(**take):
-            return Handover(loop, str(tmp_path / ("long" * 30)), "n/1", lambda: ({"list": [1]}, listening.fileno()),
+            return Handover(loop, str(tmp_path / ("long" * 30)), "n/1",
+                            lambda: ({"list": [1]}, listening.fileno()),
                             {"books": lambda message: taken.append(message), **take}, taken.append)
         os.mkdir(tmp_path / ("long" * 30))
         first, second, third = process(hand=lambda name: taken.append(name)), process(), process()
@@ -145,7 +147,8 @@
         await asyncio.wait_for(ended, 3)
         assert len(answers) > before      # what it owed at its end has been answered
         await asyncio.sleep(0.3)
-        assert b" 503 " in await ask(console, b"GET /v1/readyz HTTP/1.1\r\n\r\n") if old.console.callers else True
+        assert b" 503 " in await ask(console,
+                                     b"GET /v1/readyz HTTP/1.1\r\n\r\n") if old.console.callers else True
         stop.set_result(None)
         await asyncio.gather(*clients)
         # Who had said nothing yet is not forgotten either.
@@ -217,7 +220,8 @@
     works = []
     try:
         for i in range(3):      # each takes over from the one before
-            works.append(subprocess.Popen([sys.executable, "-m", "grebedyke"], stderr=subprocess.PIPE, text=True,
+            works.append(subprocess.Popen([sys.executable, "-m", "grebedyke"], stderr=subprocess.PIPE,
+                                          text=True,
                                           env=environ))
             assert any("-> serving" in line for line in works[i].stderr)
             if i:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -21,11 +21,13 @@
 TERMS = {"balancers": 1, "me": 0, "tickMs": 5, "zone": "a", "operations": [
     {"name": "op", "idempotency": "unsafe", "latencyObjectiveMs": 200, "clientTimeoutMs": 4000}],
     "limits": {"maxForwards": 5, "connIdleMs": 5000, "connectTimeoutMs": 250},
-    "rules": {"coldFrom": 0.3, "rampTimeMs": 8000, "tipAfterMs": 1000, "fallMultiple": 3, "drainGraceMs": 500}}
+    "rules": {"coldFrom": 0.3, "rampTimeMs": 8000, "tipAfterMs": 1000, "fallMultiple": 3,
+              "drainGraceMs": 500}}
 ROW = {"name": "s-1", "address": "127.0.0.1:9", "zone": "a", "type": "m", "group": 0, "status": "Ready"}
 
 
-KEYED = {"name": "op", "idempotency": "keyed", "latencyObjectiveMs": 200, "clientTimeoutMs": 4000, "windowMs": 9, "group": "zone"}
+KEYED = {"name": "op", "idempotency": "keyed", "latencyObjectiveMs": 200, "clientTimeoutMs": 4000,
+         "windowMs": 9, "group": "zone"}
 
 
 def free_port():
@@ -52,22 +54,31 @@
 
 def test_faults_in_the_configuration_name_their_key(tmp_path):
     for path, value, words in (
-            (("listen",), "9000", "listen is not host:port"), (("discovery",), "h:0", "discovery is not host:port"),
-            (("name",), None, "name is missing"), (("limits",), {"sockets": 3}, "limits.sockets is out of its range"),
+            (("listen",), "9000", "listen is not host:port"),
+            (("discovery",), "h:0", "discovery is not host:port"),
+            (("name",), None, "name is missing"),
+            (("limits",), {"sockets": 3}, "limits.sockets is out of its range"),
             (("known", "endpoints", 0, "address"), "x", "known.endpoints[0].address is not host:port"),
             (("settings", "rules", "coldFrom"), None, "settings.rules.coldFrom is missing"),
-            (("settings", "me"), 1, "settings.me is out of its range"), (("settings", "tickMs"), True, "settings.tickMs"),
+            (("settings", "me"), 1, "settings.me is out of its range"),
+            (("settings", "tickMs"), True, "settings.tickMs"),
             (("settings", "operations"), [], "settings.operations is missing"),
-            (("settings", "operations", 0, "idempotency"), "keyed", "settings.operations[0].windowMs is missing"),
+            (("settings", "operations", 0, "idempotency"), "keyed",
+             "settings.operations[0].windowMs is missing"),
             (("settings", "operations", 0, "group"), "row", "settings.operations[0].group is unknown"),
-            (("settings", "operations", 0), {**KEYED, "group": None}, "settings.operations[0].group is missing"),
-            (("settings", "operations", 0, "clientTimeoutMs"), None, "settings.operations[0].clientTimeoutMs is missing"),
-            (("settings", "operations", 0, "clientTimeoutMs"), 0, "settings.operations[0].clientTimeoutMs is out of its range"),
+            (("settings", "operations", 0), {**KEYED, "group": None},
+             "settings.operations[0].group is missing"),
+            (("settings", "operations", 0, "clientTimeoutMs"), None,
+             "settings.operations[0].clientTimeoutMs is missing"),
+            (("settings", "operations", 0, "clientTimeoutMs"), 0,
+             "settings.operations[0].clientTimeoutMs is out of its range"),
             (("settings", "limits"), None, "settings.limits is missing"),
             (("settings", "limits", "maxForwards"), None, "settings.limits.maxForwards is missing"),
             (("settings", "limits", "maxForwards"), 0, "settings.limits.maxForwards is out of its range"),
-            (("settings", "limits"), {**TERMS["limits"], "peerMessages": "yes"}, "settings.limits.peerMessages"),
-            (("peers",), ["x"], "peers[0] is not host:port"), (("peers",), ["h:1", "h:2"], "peers has 2 of 1 nodes"),
+            (("settings", "limits"), {**TERMS["limits"], "peerMessages": "yes"},
+             "settings.limits.peerMessages"),
+            (("peers",), ["x"], "peers[0] is not host:port"),
+            (("peers",), ["h:1", "h:2"], "peers has 2 of 1 nodes"),
             (("settings", "registryMode"), "pull", "settings.registryMode is unknown"),
             (("settings", "familyInfo"), {"tellsStart": 1}, "settings.familyInfo.tellsStart")):
         file = tmp_path / "config.json"
@@ -78,7 +89,8 @@
         file.write_text(text)
         with pytest.raises(configuration.Unusable, match=words):
             configuration.read_node({"BALANCER_CONFIG": str(file)})
-    for environ, words in (({}, "is missing"), ({"BALANCER_CONFIG": str(tmp_path / "none")}, "cannot be read")):
+    for environ, words in (({}, "is missing"),
+                           ({"BALANCER_CONFIG": str(tmp_path / "none")}, "cannot be read")):
         with pytest.raises(configuration.Unusable, match=words):
             configuration.read_node(environ)
 
@@ -120,7 +132,8 @@
         while line := await reader.readline():
             while (head := await reader.readline()) not in (b"\r\n", b""):
                 if head.lower().startswith(b"content-length"):
-                    await reader.readexactly(int(head[15:]) + 2)      # the length stands last in what nodes send
+                    await reader.readexactly(int(head[15:])
+                                             + 2)      # the length stands last in what nodes send
                     break
             writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
             await self.seen.put(line)
@@ -157,7 +170,8 @@
         assert b" 503 " in await ask(address, b"GET /up HTTP/1.1\r\n\r\n")
         if calls_back:
             assert b" 204 " in await ask(address, news("done", more=',"result":"x"'))
-            # A node's clients may have no other node: what they have open serves until shortly before the end.
+            # A node's clients may have no other node: what they have open serves until shortly before the
+            # end.
             answer, _ = await owed, await asyncio.sleep(0.7)
             second = asyncio.create_task(ask(address, HAND_IN.replace(b"r1", b"r2"), kept))
             await asyncio.wait_for(executor.seen.get(), 2)
@@ -172,7 +186,8 @@
 
     for calls_back, status in ((True, b" 200 "), (False, b" 500 ")):
         answer, phase = asyncio.run(story(calls_back))
-        assert status in answer and (b"Connection: close" in answer) == (not calls_back) and phase == node.Phase.STOPPED
+        assert status in answer and phase == node.Phase.STOPPED
+        assert (b"Connection: close" in answer) == (not calls_back)
 
 
 def test_words_come_from_named_nodes_only_and_may_be_odd(tmp_path):
@@ -275,13 +290,15 @@
 
 
 def test_a_line_of_the_list_without_an_address_costs_no_other():
-    _, heard, _ = lists({"index": 42, "snapshot": True, "endpoints": [{**ROW, "name": "s-0", "address": "?"}, ROW]})
+    _, heard, _ = lists({"index": 42, "snapshot": True,
+                         "endpoints": [{**ROW, "name": "s-0", "address": "?"}, ROW]})
     assert [(row[0], row[5]) for row in heard[0][2]] == [("s-0", "gone"), ("s-1", "healthy")]
 
 
 def test_a_list_of_odd_and_repeated_lines_or_an_older_version_is_survived():
     odd = [None, 5, {}, {"name": 7}, {"name": ""}, {**ROW, "name": "s-9", "status": 3},
-           {**ROW, "name": "s-8", "address": "h:99999"}, {**ROW, "name": "s-7", "since_ms": "x", "weight": None}]
+           {**ROW, "name": "s-8", "address": "h:99999"},
+           {**ROW, "name": "s-7", "since_ms": "x", "weight": None}]
     lines = []
     sink = logger.add(lambda text: lines.append(str(text)))
     try:
@@ -295,7 +312,8 @@
     assert watch.index is None and not watch.asking
     next(call for _, _, call, _ in watch.turn.limits if call == watch.ask)(0)
     watch.loop.go()
-    assert watch.agent.transport.written.endswith(b"GET /discovery/hosts HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n")
+    asked = b"GET /discovery/hosts HTTP/1.1\r\nHost: 127.0.0.1:1\r\n\r\n"
+    assert watch.agent.transport.written.endswith(asked)
 
 
 def test_an_answer_that_is_no_list_or_silence_is_a_failed_watch():
@@ -321,7 +339,8 @@
     assert watch.agent is old      # the same address: nothing to do
     watch.move("127.0.0.2", 2)
     watch.silent(0, 1)
-    say(old, b"HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n" + b'{"index":99,"snapshot":true,"endpoints":[]}')
+    say(old, b"HTTP/1.1 200 OK\r\nContent-Length: 41\r\n\r\n"
+        + b'{"index":99,"snapshot":true,"endpoints":[]}')
     old.connection_lost(None)
     watch.loop.go()
     assert old.transport.closing and watch.asking and not heard and watch.index is None
@@ -386,12 +405,14 @@
 def test_a_restart_is_told_on_the_modules_clock():
     place = floor()
     place.desk.shift = -5_000
-    place.desk.listed(0, True, [("s-1", ("127.0.0.1", 9), "a", "m", 0, "healthy", since, 1) for since in (0, 700)])
+    place.desk.listed(0, True,
+                      [("s-1", ("127.0.0.1", 9), "a", "m", 0, "healthy", since, 1) for since in (0, 700)])
     assert [row[5] for row in place.told.heard[0][2]] == [0, 2_000]
 
 
 class Worker(Executor):
-    """A stand-in that runs a job for a while, two at once, and calls back to the node that the job's id begins with."""
+    """A stand-in that runs a job for a while, two at once, and calls back to the node that the job's id
+    begins with."""
 
     def __init__(self, name, nodes):
         self.name, self.nodes, self.jobs, self.room, self.calls = name, nodes, [], asyncio.Semaphore(2), set()
@@ -430,7 +451,8 @@
 
 
 def test_settings_switch_forth_and_back_under_work_of_every_effect(tmp_path):
-    # Guards against a switch that loses, repeats or orphans what was taken: books, what is held and what is lent.
+    # Guards against a switch that loses, repeats or orphans what was taken: books, what is held and what is
+    # lent.
     async def story():
         addresses = {"a": ("127.0.0.1", free_port()), "b": ("127.0.0.1", free_port())}
         workers = [await Worker(f"s-{i}", addresses).start() for i in range(3)]
@@ -440,9 +462,11 @@
         def say_(name, other):
             limits = {**TERMS["limits"], "peerMessages": other, "probes": False}
             more = [{**EFFECTS[0], "name": "more"}] if other else []
-            conf = {**TERMS, "operations": EFFECTS + more, "limits": limits, "balancers": 2, "me": "ab".index(name),
+            conf = {**TERMS, "operations": EFFECTS + more, "limits": limits, "balancers": 2,
+                    "me": "ab".index(name),
                     "parties": [{"name": "t", "quotaRps": 9}], "familyInfo": {"tellsStart": not other}}
-            files[name].write_bytes(orjson.dumps(told(name=name, listen="%s:%d" % addresses[name], known=known,
+            files[name].write_bytes(orjson.dumps(told(name=name, listen="%s:%d" % addresses[name],
+                                                      known=known,
                                                       settings=conf, peers=peers if other else [])))
         for name in "ab":
             files[name] = tmp_path / name
@@ -485,18 +509,23 @@
         return texts, sorted(id for worker in workers for id in worker.jobs)
 
     texts, jobs = asyncio.run(story())
-    assert all(text.startswith(b"HTTP/1.1 200") and text.count(b"HTTP/1.1 ") == 1 for text in texts.values()), texts
+    assert all(text.startswith(b"HTTP/1.1 200") and text.count(b"HTTP/1.1 ") == 1
+               for text in texts.values()), texts
     assert jobs == sorted(texts)      # each ran, and none twice
 
 
 def test_a_switch_takes_every_term_over_and_back():
-    # Guards against a setting that a part copies at start and keeps: half of the old ones would stay in force.
+    # Guards against a setting that a part copies at start and keeps: half of the old ones would stay in
+    # force.
     one = configuration.terms(orjson.loads(orjson.dumps(TERMS)))
     two = configuration.terms({
-        **TERMS, "balancers": 70, "me": 3, "tickMs": 4, "zone": "b", "operations": [*EFFECTS, {**EFFECTS[0], "name": "more"}],
-        "limits": {"maxForwards": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfterMs": 900, "probes": True,
+        **TERMS, "balancers": 70, "me": 3, "tickMs": 4, "zone": "b",
+        "operations": [*EFFECTS, {**EFFECTS[0], "name": "more"}],
+        "limits": {"maxForwards": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfterMs": 900,
+                   "probes": True,
                    "peerMessages": True, "maxOpen": 99}, "prices": {"crossZone": 0.1}, "registryMode": "ask",
-        "rules": {"coldFrom": 0.2, "rampTimeMs": 900, "tipAfterMs": 500, "fallMultiple": 2, "drainGraceMs": 50},
+        "rules": {"coldFrom": 0.2, "rampTimeMs": 900, "tipAfterMs": 500, "fallMultiple": 2,
+                  "drainGraceMs": 50},
         "familyInfo": {"tellsStart": True, "progressMs": 700}, "parties": [{"name": "t", "quotaRps": 9}],
         "billedValueBy": "work"})
 
@@ -531,9 +560,12 @@
                         lambda: configuration.read_node(environ))
         work.phase, before = node.Phase.SERVING, vars(work.desk.dispatcher.fleet).copy()
         for said, word in (("{", "not JSON"), ("[]", "not an object"), (None, "cannot be read"),
-                           (changed(("settings", "rules", "rampTimeMs"), None), "settings.rules.rampTimeMs is missing"),
-                           (changed(("settings", "operations", 0, "idempotency"), "sfae"), "idempotency is unknown"),
-                           (changed(("settings", "limits"), {"peerMessages": 1}), "settings.limits.peerMessages"),
+                           (changed(("settings", "rules", "rampTimeMs"), None),
+                            "settings.rules.rampTimeMs is missing"),
+                           (changed(("settings", "operations", 0, "idempotency"), "sfae"),
+                            "idempotency is unknown"),
+                           (changed(("settings", "limits"), {"peerMessages": 1}),
+                            "settings.limits.peerMessages"),
                            (changed(("settings", "balancers"), 0), "settings.balancers is out of its range"),
                            (changed(("peers",), ["127.0.0.1:0"]), "peers[0] is not host:port")):
             file.unlink(missing_ok=True)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -52,7 +52,8 @@
     head = b"POST / HTTP/1.1\r\n"
     for data, status in (
             (b"GET /\r\n\r\n", 400), (b"GET / HTTP/2\r\n\r\n", 505), (b"G@T / HTTP/1.1\r\n\r\n", 400),
-            (head + b"no colon\r\n\r\n", 400), (head + b"A b: 1\r\n\r\n", 400), (head + b" a: 1\r\n\r\n", 400),
+            (head + b"no colon\r\n\r\n", 400), (head + b"A b: 1\r\n\r\n", 400),
+            (head + b" a: 1\r\n\r\n", 400),
             (head + b"X-Id: 1\r\nX-ID: 2\r\n\r\n", 400), (head + b"X: a\nb\r\n\r\n", 400),
             (head + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\n", 400),
             (head + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
@@ -89,7 +90,8 @@
         client = say(node.client(), data)
         node.loop.go()
         assert client.transport.written.startswith(b"HTTP/1.1 %d " % status), data
-        assert (client.transport.eof or client.transport.closing) == last and not node.desk.owed and not node.told.heard
+        assert (client.transport.eof
+                or client.transport.closing) == last and not node.desk.owed and not node.told.heard
 
 
 def test_an_answer_to_a_message_cut_short_is_not_reset_by_what_still_comes():
@@ -135,7 +137,8 @@
 
 def test_an_answer_of_this_turn_goes_out_before_its_connection_is_closed():
     # At the stop's end, and where room is made, the answer was still in the ring and was lost.
-    for close in (lambda node: node.door.wind_up(), lambda node: node.client(), lambda node: node.door.shut()):
+    for close in (lambda node: node.door.wind_up(), lambda node: node.client(),
+                  lambda node: node.door.shut()):
         node = floor(most=1)
         client = node.hand_in()
         node.desk.do(NOW, ("error", b"r1"))
@@ -200,7 +203,8 @@
     for after, told in ((20_000, []), (22_500, [slow, mute]), (70_000, [slow, mute, used])):
         node.door.look(NOW + after)
         node.loop.go()
-        assert [c for c in (slow, mute, owed, used) if c.transport.written.count(b"HTTP/1.1 408") == 1] == told
+        assert [c for c in (slow, mute, owed, used) if c.transport.written.count(b"HTTP/1.1 408")
+                == 1] == told
         assert not (owed.transport.closing or used.transport.closing and used not in told)
 
 
@@ -256,7 +260,8 @@
                 say(line, part)
             node.loop.go()
         assert [x[3] for x in node.ends()] == ([outcome] if outcome else []), story
-        assert answer in client.transport.written and client.transport.written.count(b"HTTP/1.1") == bool(answer)
+        assert answer in client.transport.written
+        assert client.transport.written.count(b"HTTP/1.1") == bool(answer)
         assert bool(node.desk.owed) == (outcome != "ok")
 
 
@@ -333,7 +338,8 @@
 def test_the_end_of_a_forwards_time():
     # Before its 202 the line ends, after it the executor is told; what never left cannot have run.
     for before, outcome, closing, delete in (
-            ((), "timeout", True, False), ((ACCEPTED,), "timeout", False, True), (None, "no connection", False, False)):
+            ((), "timeout", True, False), ((ACCEPTED,), "timeout", False, True),
+            (None, "no connection", False, False)):
         node = floor()
         node.hand_in()
         if before is None:
@@ -364,7 +370,8 @@
             call(NOW + 5_000, *args)
         node.loop.go()
         # Sent again before the executor has heard that it is given up, it could be a second copy.
-        assert not node.ends() and bool(other.transport.written.startswith(b"DELETE /jobs/r1 ")) == bool(outcome)
+        assert not node.ends()
+        assert other.transport.written.startswith(b"DELETE /jobs/r1 ") == bool(outcome)
         if outcome:
             say(other, b"HTTP/1.1 204 x\r\n\r\n")
             node.loop.go()
@@ -457,7 +464,8 @@
         due = client.owed.due
         node.turn.limits.sort()
         ends = [(limit[0], limit[2].__name__) for limit in node.turn.limits]
-        assert (due - 50, "overslept") in ends and any(name == "overdue" and at < due - 50 for at, name in ends)
+        assert (due - 50, "overslept") in ends and any(name == "overdue" and at < due - 50 for at,
+                                                       name in ends)
         assert node.told.heard[0][4] == NOW + 39_800
 
 
@@ -499,7 +507,8 @@
 
 def test_lines_that_executors_give_up_early_are_used_only_as_long_as_they_are_seen_to_last():
     # Each message on a line that had died unseen ended as a reset, after which little may be sent again.
-    for ending, first, usable in (("eof", False, 15_000), ("reset", False, 15_000), ("reset", True, 1_000_000),
+    for ending, first, usable in (("eof", False, 15_000), ("reset", False, 15_000),
+                                  ("reset", True, 1_000_000),
                                   ("dropped", False, 1_000_000)):
         node = floor()
         node.hand_in()
@@ -532,7 +541,8 @@
 
 def test_probes_are_told_once_with_their_report():
     for answer, told in (
-            (b"HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\nTEXT inflight=3, x0=1.50", ("s-1", "ok", 1.5, 3.0)),
+            (b"HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\nTEXT inflight=3, x0=1.50",
+             ("s-1", "ok", 1.5, 3.0)),
             (b"HTTP/1.1 503 no\r\nContent-Length: 0\r\n\r\n", ("s-1", "full", None, None)),
             (b"", ("s-1", "timeout", None, None))):
         node = floor()
