Budget for further forwards: a part of the module, its settings, its argument and tests

Change: Budget in brain.py, told extraFloor, resendRatio and lookBackMs, which configuration checks for the adapter and the node (all three or none, refused by key). It goes over to a new process with the books; a reload takes counts into other windows.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -14,6 +14,7 @@
 SECOND = 10_000
 # A keeper that says nothing for so long is taken for dead; what it lent and never hears of is its own again.
 PATIENCE, LEASE = SECOND // 10, 4 * SECOND
+FOREVER = 2 ** 62
 
 
 class Cutoffs:
@@ -238,10 +239,47 @@
         return level < 1
 
 
+class Budget:
+    """Rule 5: forwards beyond each invocation's first, in any window, out of what this node took in it."""
+
+    def __init__(self, free, share, window):
+        self.free, self.share, self.window, self.shut = free, share, window, 0
+        # Counted also where no rule is set: a reload may bring one, and what went before is in its window.
+        span = max((window or 10 * SECOND) // 48, 1)
+        self.took, self.again = Ring(span, 64), Ring(span, 64)
+
+    def left(self, now):
+        """How many may go now, and the window's allowance; its edge counts where that allows less."""
+        if not self.window:
+            return inf, inf
+        allowance = self.free + self.share * self.took.total(now, 47)
+        return (allowance - self.again.total(now, 50) if now >= self.shut else 0), allowance
+
+    def books(self):
+        """For the process that goes on with this node's work; to the rule both are one, so this one stops."""
+        books = self.took.buckets(), self.again.buckets(), self.took.span, self.shut
+        self.shut = FOREVER
+        return books
+
+    def alone(self, now):
+        """The process that had it has gone, and what it sent is unknown: none for a window."""
+        self.shut = min(self.shut, now + self.window + 2 * self.took.span)
+
+    def recall(self, now, took, again, span, shut):
+        """Goes on with the counts of another process, or of other settings, whose rings may have had less."""
+        for mark, n in took:
+            self.took.add(mark * span, n)
+        for mark, n in again:
+            self.again.add(min((mark + 1) * span - 1, now), n)
+        short = self.window + 3 * self.took.span > 62 * span
+        self.shut = max(shut, now + self.window + 2 * self.took.span if short else 0)
+
+
 class Dispatcher:
-    def __init__(self, chance, cutoffs, fleet, shares, operations, tick, cancels, forwards, back, starts,
-                 asks, cross, by_work, probes, most):
+    def __init__(self, chance, cutoffs, fleet, shares, budget, operations, tick, cancels, forwards, back,
+                 starts, asks, cross, by_work, probes, most):
         self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
+        self.budget = budget
         self.operations, self.ops, self.tick, self.cancels = operations, [*operations.values()], tick, cancels
         self.forwards, self.back, self.starts, self.cross, self.asks = forwards, back, starts, cross, asks
         self.invs, self.held, self.cuts, self.tells = {}, {}, [], fleet.split > 0
@@ -276,6 +314,7 @@
         inv.latest = min(inv.first + int(op.objective * 0.6 + spare), due - 4 * self.tick)
         if asker is None:
             self.cutoffs.arrivals.add(now)
+            self.budget.took.add(now)
             fleet.mean += 0.1 * (size - fleet.mean) if fleet.mean else size
             # Without start notes nothing tells what a cut gives back.
             fixed = op.effect != IDEMPOTENT or not (self.cancels and self.starts)
@@ -436,7 +475,10 @@
         c, waits = self.cutoffs, any(not g.began for g in f.tgt.out.values())
         known, over = c.freed + c.kept >= 4, f.done or f.cancelled or f.inv.done or not c.best
         trial = c.trials < 4 and waits and not f.tgt.cut
-        if over or len(f.inv.forwards) >= self.forwards or not (known or trial):
+        # Cut only what may go again: a cut job that has to be given up has run for nothing.
+        left, allowance = self.budget.left(now)
+        paid = left >= max(1, allowance / 2)
+        if over or len(f.inv.forwards) >= self.forwards or not (known or trial) or not paid:
             return False
         c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
         return True
@@ -449,7 +491,7 @@
         # Own answers tell little of executors at which under a quarter of a forward of this node is out.
         thin = self.probes and self.cutoffs.arrivals.total(now) * fleet.mean < SECOND * len(fleet.listed)
         for inv in order:
-            if now >= inv.latest or inv.forwards and not any(self.allowed(inv, e, now) for e in fleet.listed):
+            if now >= inv.latest or inv.forwards and not self.again(inv, now):
                 if inv.asker is None:
                     yield self.give_up(inv, now)
                 else:
@@ -467,6 +509,8 @@
                 some = free[inv.group] = list(islice((e for e in ring if fleet.ready(e, now)), 24))
             e, lender = inv.lent or (self.choose(inv, some, now, thin) if some else None, None)
             if e:
+                if inv.forwards and inv.asker is None:
+                    self.budget.again.add(now)
                 f = Forward(inv, e, now, lender)
                 fleet.sends.add(now)
                 self.asked.pop(inv.number, None)
@@ -539,6 +583,11 @@
                 yield ("probe", e.id)
                 break
 
+    def again(self, inv, now):
+        """Whether a further forward may still come of it; the budget is this node's, not its keeper's."""
+        return (inv.asker is not None or self.budget.left(now)[0] >= 1) and any(
+            self.allowed(inv, e, now) for e in self.fleet.listed)
+
     def allowed(self, inv, e, now):
         """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
         if len(inv.forwards) >= self.forwards:
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -141,6 +141,10 @@
             self.marks[i], self.sums[i] = mark, 0
         self.sums[i] += amount
 
+    def buckets(self):
+        """(mark, count) of each bucket in use, the oldest first; a mark times the span is when it began."""
+        return sorted((m, s) for m, s in zip(self.marks, self.sums) if s)
+
     def total(self, now, spans=None):
         """Of the last `spans`, all without it."""
         first = now // self.span - (spans or self.spans) + 1
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -86,6 +86,7 @@
         pool.share(with_another)
         if not with_another:
             peers.again()
+            dispatcher.budget.alone(turn.clock())
 
     handover = Handover(loop, said["folder"], said["name"], books, {
         "books": recall, "news": heard_news, "client": lambda **what: loop.create_task(door.adopt(**what)),
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -7,6 +7,7 @@
 
 from grebedyke import brain, ledger
 
+BUDGET = "extraFloor", "resendRatio", "lookBackMs"
 EFFECTS = {"safe": ledger.IDEMPOTENT, "keyed": ledger.DEDUPLICATED, "unsafe": ledger.NON_IDEMPOTENT}
 
 
@@ -26,6 +27,10 @@
     return check
 
 
+def maybe(check):
+    return lambda value: None if value is None else check(value)
+
+
 def address(value):
     """
     >>> address("127.0.0.4:9000")
@@ -54,11 +59,20 @@
     return {**row, "group": row["group"] or "all"}
 
 
+def budget(rules):
+    """The three terms of the budget for further forwards say nothing without each other."""
+    told = [key for key in BUDGET if rules[key] is not None]
+    for key in BUDGET if told else ():
+        if rules[key] is None:
+            raise Invalid("is missing", path=[key])
+    return rules
+
+
 OPERATION = All(table({
     Required("name"): str,
     Required("idempotency"): In(EFFECTS, msg="is unknown"),
     Optional("group", default=None): Any(None, "all", "zone", "cell", msg="is unknown"),
-    Optional("windowMs", default=None): Any(None, number(0)),
+    Optional("windowMs", default=None): maybe(number(0)),
     Required("latencyObjectiveMs"): number(0),
     # No default: with a guessed one a file that lacks a line would bind clients to what nobody has said.
     Required("clientTimeoutMs"): number(0.1),
@@ -74,10 +88,14 @@
     Optional("machineTypes", default=list): [str],
     Required("operations"): All([OPERATION], Length(min=1, msg="is missing")),
     # Drains are kept by stopping at once, the fall by warmth and parts; still no run without these figures.
-    Required("rules"): table({
+    Required("rules"): All(table({
         Required("drainGraceMs"): number(0), Required("fallMultiple"): number(1),
         Required("coldFrom"): number(0, 1), Required("rampTimeMs"): number(0),
-        Required("tipAfterMs"): number(0.1)}),
+        Required("tipAfterMs"): number(0.1),
+        Optional("extraFloor", default=None): maybe(number(0)),
+        Optional("resendRatio", default=None): maybe(number(0)),
+        # A day at most: a window that no node's life fills would be no rule of forwards any more.
+        Optional("lookBackMs", default=None): maybe(number(1, 86_400_000))}), budget),
     Required("limits"): table({
         Optional("mayCancel", default=False): bool, Required("maxForwards"): number(1),
         Optional("retryAfter", default=False): bool, Optional("maxRetryAfterMs", default=0): number(0),
@@ -164,8 +182,9 @@
         tenths(family["progressMs"]), prices["crossZone"], 1 + nodes // 64 if limits["peerMessages"] else 0)
     quotas = {row["name"]: row["quotaRps"] for row in conf["parties"]}
     return brain.Dispatcher(
-        chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), operations,
-        tenths(conf["tickMs"]), limits["mayCancel"], int(limits["maxForwards"]),
+        chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes),
+        brain.Budget(rules["extraFloor"] or 0, rules["resendRatio"] or 0, tenths(rules["lookBackMs"] or 0)),
+        operations, tenths(conf["tickMs"]), limits["mayCancel"], int(limits["maxForwards"]),
         tenths(limits["maxRetryAfterMs"]) if limits["retryAfter"] else 0,
         family["tellsStart"], conf["registryMode"] == "ask", prices["crossZone"],
         conf["billedValueBy"] == "work", limits["probes"], int(limits["maxOpen"]))
--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -117,12 +117,15 @@
 
     def books(self):
         """For a process that goes on with this one's work: the executors with their addresses."""
-        return {"executors": self.dispatcher.fleet.books(), "places": [
+        decides = self.dispatcher
+        return {"executors": decides.fleet.books(), "budget": decides.budget.books(), "places": [
             (e.name, e.address, e.since) for e in self.pool.endpoints.values() if e.listed and e.address]}
 
     def recall(self, now, books):
         self.pool.listed(True, [(name, tuple(place), False, since) for name, place, since in books["places"]])
         self.dispatcher.fleet.recall(now, books["executors"])
+        # A process of before this had no such books: what it has sent is unknown.
+        self.dispatcher.budget.recall(now, *books.get("budget") or ((), (), 0, 0))
         self.dispatcher.listed(now, False, [])
 
     def by_hand(self, now, name, out):
--- a/grebedyke/service/switch.py
+++ b/grebedyke/service/switch.py
@@ -29,7 +29,13 @@
         copy(getattr(old, part), getattr(new, part))
     # What came in under an operation that is no more is still dispatched by it; the door takes no more of it.
     new.operations = {**old.operations, **new.operations}
-    copy(old, new, *PARTS)
+    copy(old, new, "budget", *PARTS)
+    if old.budget.window != new.budget.window:
+        # Rings of other spans; what was sent by the old terms is in the new window all the same.
+        new.budget.recall(now, old.budget.took.buckets(), old.budget.again.buckets(), old.budget.took.span,
+                          old.budget.shut)
+        old.budget = new.budget
+    copy(old.budget, new.budget)
     old.ops, old.shares.tenants, old.tells = new.ops, new.shares.tenants, new.tells
     old.shares.levels = {t: x for t, x in old.shares.levels.items() if t in old.shares.quotas}
     for e in fleet.all.values():
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -14,12 +14,12 @@
 
 def dispatcher(effect=IDEMPOTENT, group="zone", nodes=1, me=0, cancels=True, asks=False, back=0,
                window=100_000, cross=0.0, progress=10_000, seed=7,
-               probes=False, split=0, starts=True, tenants=None):
+               probes=False, split=0, starts=True, tenants=None, budget=(0, 0, 0)):
     ops = {"op": Operation("op", effect, group, window, 2_500, 2.0, 1.0)}
     chance = Chance(seed)
     fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 3.0, 250, progress, cross, split)
     return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(tenants or {}, nodes),
-                            ops, 50,
+                            brain.Budget(*budget), ops, 50,
                             cancels, 5, back, starts, asks, cross, True, probes, 1_000)
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -132,8 +132,8 @@
         while line := await reader.readline():
             while (head := await reader.readline()) not in (b"\r\n", b""):
                 if head.lower().startswith(b"content-length"):
-                    await reader.readexactly(int(head[15:])
-                                             + 2)      # the length stands last in what nodes send
+                    # The length stands last in what nodes send.
+                    await reader.readexactly(int(head[15:]) + 2)
                     break
             writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
             await self.seen.put(line)
