--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -117,7 +117,7 @@
         super().__init__(split)
         self.missed, self.levels, self.kinds, self.slots = {}, {}, {}, {}
         self.pace, self.mean, self.late, self.bias = 1.0, 0.0, [0.0, 0.0], 0.0
-        self.trims = Ring(SECOND // 10, 5)
+        self.trims, self.widest = Ring(SECOND // 10, 5), 1
 
     def lay(self, share):
         """Tiers split each kind alike by hashed id; (workers, slots times speed) of each, for all nodes."""
@@ -196,8 +196,9 @@
         e.asked = 0
         if outcome != OK or free is None or held is None:
             return outcome not in (OK, FULL) and self.failed(e, now, outcome)
-        # All slots show when one is free; else the most seen of its kind stand in.
-        slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), free and free + held)
+        # All slots show when the widest job finds room, as then nothing waits; else the most seen there.
+        shown = free + held if free >= self.widest else 1
+        slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), shown)
         ahead = (max(held - slots, 0) + 0.5) / slots * self.mean / e.speed - SECOND // 4
         e.wait = max(ahead, 0) if free < 0.5 else 0      # a quarter second is worked off as the report ages
 
@@ -307,6 +308,7 @@
         size = hint or op.mean or fleet.quick
         over = not self.tells and self.shares.over(now, tenant)      # else its keeper tells
         inv = self.invs[id] = Invocation(id, op, now, due, size, hint, slots, over, tenant, asker)
+        fleet.widest = max(fleet.widest, slots)
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
         # A client's repeat keeps its first try's client timeout: what is left of it tells when that came.
         op.span = max(op.span, due - now)
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -405,6 +405,19 @@
         assert bool(pull(d, 20, "forward")) == taken
 
 
+def test_a_free_slot_before_a_queue_is_not_taken_for_room():
+    # The head of a queue that needs two slots leaves one free: 1 + 20 passed for the executor's slots from
+    # then on, and no reported queue for a wait.
+    for wide, wait in ((1, 0), (2, 10_000)):
+        d = dispatcher(nodes=200, probes=True)
+        d.listed(10, True, rows(1))
+        d.fleet.mean = 5_000
+        d.taken(10, 5, "op", None, 50_010, 5_000, wide)
+        for free, held in ((4.0, 0.0), (1.0, 20.0), (0.0, 20.0)):
+            d.probed(20, 1, "ok", free, held)
+        assert (d.fleet.all[1].wait > wait) == (wide > 1)
+
+
 def test_a_young_executor_is_drawn_at_its_part_only_when_the_others_are_not_ready():
     sent = 0      # guards against all nodes meeting at the one that has just started (rule 4), known or not
     for seed in range(200):
