--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -117,7 +117,9 @@
         super().__init__(split)
         self.missed, self.levels, self.kinds, self.slots = {}, {}, {}, {}
         self.pace, self.mean, self.late, self.bias = 1.0, 0.0, [0.0, 0.0], 0.0
-        self.trims, self.widest = Ring(SECOND // 10, 5), 1
+        self.trims, self.widest, self.scale = Ring(SECOND // 10, 5), 1, 1.0
+        # How often work began at once where the report had no slot free, and where it had: at first as said.
+        self.told, self.queue = [0.2, 1.0], 0.0
 
     def lay(self, share):
         """Tiers split each kind alike by hashed id; (workers, slots times speed) of each, for all nodes."""
@@ -165,6 +167,14 @@
         floor = e.floor[f.opened] = min(e.floor[f.opened] + 1, took)
         wait = took - floor
         e.wait += 0.3 * (wait - e.wait)
+        if f.told is not None:
+            self.told[f.told] += 0.1 * ((wait <= self.quick) - self.told[f.told])
+            if not f.told:
+                self.queue += 0.1 * (f.ahead - self.queue) if self.queue else f.ahead
+            if f.guess > 0:
+                # What reported queues come to, over what they were reckoned at: slots and sizes are rough.
+                scale = self.scale * (1 + 0.1 * (wait - f.guess) / (wait + f.guess))
+                self.scale = min(max(scale, 0.1), 10.0)
         # Work that came since the report makes waits longer than it said: under overload, always.
         self.bias += 0.25 * (min(max(wait - f.guess, 0), 40 * self.quick) - self.bias)
         # How late work starts at home and abroad, as a share of the objective: what crossing would save.
@@ -196,11 +206,15 @@
         e.asked = 0
         if outcome != OK or free is None or held is None:
             return outcome not in (OK, FULL) and self.failed(e, now, outcome)
-        # All slots show when the widest job finds room, as then nothing waits; else the most seen there.
-        shown = free + held if free >= self.widest else 1
-        slots = self.slots[e.kind] = max(self.slots.get(e.kind, 1), shown)
-        ahead = (max(held - slots, 0) + 0.5) / slots * self.mean / e.speed - SECOND // 4
-        e.wait = max(ahead, 0) if free < 0.5 else 0      # a quarter second is worked off as the report ages
+        # All slots show when the widest job finds room: none waits. The most of noisy reports is too much.
+        slots = self.slots.get(e.kind, 1)
+        if free >= self.widest:
+            slots += (0.1 if slots > 1 else 1) * (free + held - slots)
+            self.slots[e.kind] = slots = max(slots, 1)
+        e.ahead = (max(held - slots, 0) + 0.5) / slots * self.mean / e.speed if free < 0.5 else 0
+        # What is worked off while a report ages shows in the share of such queues that are gone by then.
+        gone = -log(1 - min(self.told[0] / (self.told[1] + 0.01), 0.9)) * self.queue
+        e.wait = max((e.ahead - gone) * self.scale, 0)
 
     def ran(self, e, size, time, mean):
         """Speed by the hints against the time taken: else a slow worker's jobs would pass for long ones."""
@@ -509,7 +523,12 @@
                 at = int(self.chance.draw() * len(some))
                 ring = some[at:] + some[:at]
                 some = free[inv.group] = list(islice((e for e in ring if fleet.ready(e, now)), 24))
-            e, lender = inv.lent or (self.choose(inv, some, now, thin) if some else None, None)
+            waits = thin and now < inv.ask_at and any(e.asked for e in inv.asked)
+            e, lender = inv.lent or (self.choose(inv, some, now, thin) if some and not waits else None, None)
+            # Another report is worth its probe as far as reports were seen to tell where work begins at once.
+            gain = fleet.told[1] - fleet.told[0] if thin and e and e.wait > 0 and inv.rounds < 3 else 0
+            if gain > 0 and self.chance.draw() < gain and (yield from self.ask(inv, now, some)):
+                continue
             if e:
                 if inv.forwards and inv.asker is None:
                     self.budget.again.add(now)
@@ -520,6 +539,7 @@
                     self.clock(f, now + int(e.wait))
                 if e in some and not thin and not fleet.ready(e, now):
                     some.remove(e)
+                f.told = not e.ahead if thin else None
                 if inv.asker is None:
                     yield ("forward", inv.id, e.id, inv.due - now - 3 * self.tick)
                 else:
@@ -529,7 +549,7 @@
             elif inv.asker is not None and not inv.rounds:
                 inv.rounds = 1
                 yield ("tell", inv.asker, "none", inv.id[1], inv.over)
-            elif thin and not (now < inv.ask_at and any(e.asked for e in inv.asked)):
+            elif thin and not waits:
                 # All nodes read the same late reports: asking until one has room makes all meet there.
                 again = inv.rounds < (1 + (self.chance.draw() > fleet.late[0]) if some and fleet.slots else 4)
                 yield from self.ask(inv, now) if again else (self.give_up(inv, now),)
@@ -564,13 +584,14 @@
         part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
         return inv.arrived + part * (inv.latest - inv.arrived)
 
-    def ask(self, inv, now):
-        """One random executor, by size, of home or of the other zones, in turn."""
-        fleet, inv.asked = self.fleet, []
+    def ask(self, inv, now, some=()):
+        """One random executor, by size, of home or of the other zones, in turn; some: those asked before."""
+        fleet, inv.asked = self.fleet, [*some]
         away = max(4 * (fleet.late[0] - fleet.late[1] - fleet.cross), 0.02)
         inv.abroad = not inv.abroad if inv.rounds else self.chance.draw() < away
         inv.rounds, inv.ask_at = inv.rounds + 1, now + SECOND // 20
-        side = [e for e in fleet.listed if (e.zone != fleet.zone) == inv.abroad and not e.asked]
+        left = [e for e in fleet.listed if not e.asked and e not in some]
+        side = [e for e in left if (e.zone != fleet.zone) == inv.abroad] or left
         # First those where own work started at once and ended lately; short jobs have turned that over.
         keep, young = self.chance.draw() * SECOND < 2 * fleet.mean, now - fleet.ramp
         known = [e for e in side if keep and not e.out and now < e.heard + 4 * SECOND
@@ -581,9 +602,10 @@
             e = self.chance.pick(turn or known or side)
             fits = turn or known or self.chance.draw() * fleet.top < e.weight and e.born < young
             if fits and self.suits(inv, e, now) and fleet.ready(e, now):
-                inv.asked, e.asked = [e], now
+                inv.asked, e.asked = [*some, e], now
                 yield ("probe", e.id)
-                break
+                return True
+        return False
 
     def again(self, inv, now):
         """Whether a further forward may still come of it; the budget is this node's, not its keeper's."""
@@ -617,6 +639,8 @@
         if thin:
             pool = [e for e in pool if e.wait + fleet.bias <= max(end - inv.size / e.speed, fleet.quick)]
         pool = [e for e in pool if e.wait + inv.size / (e.speed * fleet.warmth(e, now)) <= end] or pool
+        if thin and len(pool) > 1:
+            return min(pool, key=lambda e: e.wait + inv.size / e.speed)
         far = sum(e.used / e.credit for e in pool) / max(len(pool), 1) + 0.2
         return self.chance.pick([e for e in pool if e.used / e.credit <= far]) if pool else None
 
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -55,12 +55,12 @@
     __slots__ = ("id", "rank", "zone", "kind", "cell", "born", "said", "state", "tier", "out", "credit",
                  "work", "busy",
                  "speed", "wait", "floor", "heard", "shut", "fails", "full", "cut", "trimmed", "used",
-                 "asked", "weight", "sent", "told", "group")
+                 "asked", "weight", "sent", "told", "group", "ahead")
 
     def __init__(self, id, rank):
         self.id, self.rank, self.heard, self.sent, self.tier, self.out = id, rank, -inf, -inf, 0, {}
         self.credit, self.speed, self.floor, self.born = 2.0, 1.0, [inf, inf], None
-        self.work = self.busy = self.wait = 0.0
+        self.work = self.busy = self.wait = self.ahead = 0.0
         self.full = {}      # by operation: until when it is not asked, having turned that away
         self.shut = self.fails = self.cut = self.trimmed = self.used = self.asked = self.told = 0
         self.group = None
@@ -101,12 +101,14 @@
 
 class Forward:
     __slots__ = ("inv", "n", "tgt", "sent", "began", "cancelled", "done", "cut", "unrun", "guess",
-                 "opened", "lender", "number", "far", "news", "load")
+                 "opened", "lender", "number", "far", "news", "load", "told", "ahead")
 
     def __init__(self, inv, tgt, sent, lender=None):
         self.inv, self.n, self.tgt = inv, len(inv.forwards), tgt
         self.sent, self.began, self.guess = sent, 0, tgt.wait
         self.cancelled = self.done = self.cut = self.unrun = self.opened = False
+        # Whether the report that it went by had a slot free, None: it went by none; the wait reckoned by it.
+        self.told, self.ahead = None, tgt.ahead
         # lender: the node by whose book it went, None: this one's; number: under which it was asked for.
         self.lender, self.number, self.far, self.news = lender, inv.number, 0, sent
         inv.lent, tgt.sent = None, sent
