--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -119,7 +119,7 @@
         self.pace, self.mean, self.late, self.bias = 1.0, 0.0, [0.0, 0.0], 0.0
         self.trims, self.widest, self.scale = Ring(SECOND // 10, 5), 1, 1.0
         # How often work began at once where the report had no slot free, and where it had: at first as said.
-        self.told, self.queue = [0.2, 1.0], 0.0
+        self.told, self.queue, self.starts = [0.2, 1.0], 0.0, [3, 3]
 
     def lay(self, share):
         """Tiers split each kind alike by hashed id; (workers, slots times speed) of each, for all nodes."""
@@ -168,7 +168,9 @@
         wait = took - floor
         e.wait += 0.3 * (wait - e.wait)
         if f.told is not None:
-            self.told[f.told] += 0.1 * ((wait <= self.quick) - self.told[f.told])
+            self.starts[f.told] += 1
+            part = max(0.1, 1 / self.starts[f.told])
+            self.told[f.told] += part * ((wait <= self.quick) - self.told[f.told])
             if not f.told:
                 self.queue += 0.1 * (f.ahead - self.queue) if self.queue else f.ahead
             if f.guess > 0:
@@ -197,8 +199,10 @@
             e.trimmed = now + SECOND // 2
             e.credit = max(0.1, runs, e.credit * max(0.4, 2 * self.quick / wait))
             self.trims.add(now)
-        # Many nodes at few slots: one forward each would be too much; credit under one rests in between.
-        e.shut = max(e.shut, now + int(took * max(1 / e.credit - 1, 0)))
+        # Many nodes at few slots: one forward each would be too much; credit under one rests in between. A
+        # quarter second at most, as after a failure: a start 3 s late, at a hang's end, cost half a minute.
+        rest = min(int(took * max(1 / e.credit - 1, 0)), SECOND // 4)
+        e.shut = max(e.shut, now + rest)
 
     def probed(self, now, id, outcome, free, held):
         """What other nodes send is seen here alone: the report gives the work there by its slots."""
