A demo, a load tool with a ledger, stand-ins, a fleet's log by the second, JSON logs

Log lines carry event names and fields, as text or JSON, and never wait for their reader. Counts tell how forwards ended, probes, connects, lists, what is left out.

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,18 @@
 PYTHON = .venv/bin/python
 
-.PHONY: build test lint run
+.PHONY: build demo test lint run
 
 build: .venv
 	$(PYTHON) -m compileall -q grebedyke
 
-.venv: requirements.txt
+.venv: requirements.txt requirements-tools.txt
 	test -d .venv || python3 -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt
+	.venv/bin/pip -q install -r requirements.txt -r requirements-tools.txt
 	touch .venv
 
+demo: build
+	$(PYTHON) -m grebedyke demo
+
 lint: build
 	.venv/bin/pip -q install ruff==0.14.5
 	.venv/bin/ruff check grebedyke tests
--- /dev/null
+++ b/grebedyke/load/fleet.py
@@ -0,0 +1,124 @@
+"""A small fleet on this machine: discovery, executors and nodes, to be tried by load."""
+import asyncio
+import json
+import os
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+from grebedyke.standin import talk
+from grebedyke.standin.discovery import Discovery
+from grebedyke.standin.executor import Executor
+from grebedyke.standin.faults import Script
+from grebedyke.standin.model import Worker
+
+KINDS = {"full": 1.0, "slow": 0.6}
+ZONES = "a", "b"
+STARTS = 10.0      # seconds that nodes get to be ready
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
+
+
+def settings(operations, nodes, me, zone):
+    """A deployment as the platform would tell it: two operations or more, no messages between nodes."""
+    rows = [{"name": op.name, "idempotency": op.effect, "latencyObjectiveMs": 250, "group": "zone",
+             "windowMs": op.window * 1000, "clientTimeoutMs": op.timeout * 1000, "billedValue": 1.0}
+            for op in operations]
+    return {"balancers": nodes, "me": me, "tickMs": 5, "zone": zone, "zones": [*ZONES],
+            "machineTypes": [*KINDS], "operations": rows, "billedValueBy": "work",
+            "limits": {"maxForwards": 4, "connIdleMs": 5000, "connectTimeoutMs": 250, "mayCancel": True,
+                       "probes": True, "retryAfter": True, "maxRetryAfterMs": 2000},
+            "rules": {"coldFrom": 0.3, "rampTimeMs": 2000, "fallMultiple": 3, "tipAfterMs": 1000,
+                      "drainGraceMs": 2000},
+            "familyInfo": {"tellsStart": True, "progressMs": 0, "classStretch": [2.5] * len(operations)},
+            "telemetry": {"fields": ["x0", "rif"], "how": "inline"}, "registryMode": "push",
+            "parties": [{"name": "t", "quotaRps": 1000}]}
+
+
+class Fleet:
+    """Discovery, executors and nodes of one run; `node`: the command that starts one."""
+
+    def __init__(self, operations, nodes=3, executors=6, command=(sys.executable, "-m", "grebedyke"),
+                 faults=None,
+                 seed=0, slots=4, cold=0.3):
+        self.operations, self.command, self.faults, self.seed = operations, command, faults or {}, seed
+        self.count, self.slots, self.cold = executors, slots, cold
+        self.folder = tempfile.TemporaryDirectory(prefix="grebedyke-")
+        self.nodes = {f"n{i}": ("127.0.0.1", free_port()) for i in range(nodes)}
+        self.discovery, self.executors, self.processes = None, {}, {}
+
+    async def start(self):
+        self.discovery = await Discovery().listen()
+        known = {}
+        for i in range(self.count):
+            name, zone = f"s-{i}", ZONES[i % len(ZONES)]
+            kind = [*KINDS][i // len(ZONES) % len(KINDS)]
+            # Already warm, as a fleet is that has run for a while; a restart is cold.
+            worker = Worker(self.slots, KINDS[kind], cold=self.cold, ramp=2.0, born=-10.0)
+            # The executors of a zone drop each other's repeats.
+            worker.known = known.setdefault(zone, {})
+            executor = Executor(name, self.nodes, worker, Script(self.faults.get(name, ()), self.seed + i))
+            self.executors[name] = await executor.listen()
+            self.discovery.put(self.discovery.row(name, executor.address, zone, kind))
+        await asyncio.gather(*(self.open(name) for name in self.nodes))
+        return self
+
+    async def open(self, name):
+        me = [*self.nodes].index(name)
+        path = Path(self.folder.name, f"{name}.json")
+        path.write_text(json.dumps({
+            "name": name, "listen": "%s:%d" % self.nodes[name], "discovery": "%s:%d" % self.discovery.address,
+            "seed": f"{self.seed}-{name}", "known": self.discovery.listing(),
+            "settings": settings(self.operations, len(self.nodes), me, ZONES[me % len(ZONES)])}))
+        log = open(Path(self.folder.name, f"{name}.log"), "ab")
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
+        environ |= {"BALANCER_CONFIG": str(path), "BALANCER_COUNTS": "1", "TMPDIR": self.folder.name}
+        with log:
+            process = await asyncio.create_subprocess_exec(
+                *self.command, env=environ, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        self.processes[name] = process
+        end = asyncio.get_running_loop().time() + STARTS
+        while (await talk.call(self.nodes[name], "GET /up HTTP/1.1", wait=0.5))[0] != 200:
+            if process.returncode is not None or asyncio.get_running_loop().time() > end:
+                text = Path(self.folder.name, f"{name}.log").read_text(errors="replace").strip()
+                last = text.splitlines()[-1] if text else "it said nothing"
+                raise OSError("node %s at %s:%d did not start: %s" % (name, *self.nodes[name], last))
+            await asyncio.sleep(0.05)
+
+    async def drain(self, name):
+        """As a deploy takes one away: told as draining, it finishes what it has."""
+        await self.discovery.change(name, status="Terminating")
+
+    async def kill(self, name):
+        await self.executors[name].close()
+        await self.discovery.change(name, status="Gone")
+
+    def fill(self, ledger):
+        """What executors and discovery have seen goes into the ledger."""
+        for name, executor in self.executors.items():
+            ledger.ran(name, executor.worker.runs)
+            ledger.reached(name, executor.forwards)
+        for at, name, _ in self.discovery.told:
+            ledger.drained(name, at)
+
+    async def close(self):
+        """Ends the nodes as operators do, then whoever does not end."""
+        for process in self.processes.values():
+            if process.returncode is None:
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                await asyncio.wait_for(process.wait(), 6)
+            except TimeoutError:
+                process.kill()
+                await process.wait()
+        for executor in self.executors.values():
+            await executor.close()
+        if self.discovery:
+            await self.discovery.close()
+        self.folder.cleanup()
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -1,5 +1,6 @@
 """Puts a node's parts together, each from its own few terms."""
 import resource
+from functools import partial
 
 from grebedyke.service.configuration import open_dispatcher, tenths
 from grebedyke.service.console import Console
@@ -33,6 +34,13 @@
     return tenths(max(row["clientTimeoutMs"] for row in conf["operations"]))
 
 
+def levels(turn, dispatcher):
+    """For the log: executors that the list has healthy, and how many of them are left out for the moment."""
+    listed, now = dispatcher.fleet.listed, turn.clock()
+    return {"listed": len(listed), "out": sum(e.shut > now for e in listed),
+            "held": sum(inv.held for inv in dispatcher.held)}
+
+
 def assemble(loop, said, read_again):
     """`said`: what configuration.read_node gave; `read_again()` gives it anew at a reload."""
     conf, soft = said["settings"], resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -53,6 +61,7 @@
                                again, desk.listed, desk.unlisted)
     peers = desk.peers = Peers(loop, turn, desk.heard)
     turn.decide, turn.carry = dispatcher.decide, desk.do
+    gauges.levels = partial(levels, turn, dispatcher)
 
     def renew(said):
         """Whole, or a fault before anything has changed; what it gives is then done in one turn."""
--- a/grebedyke/service/configuration.py
+++ b/grebedyke/service/configuration.py
@@ -27,6 +27,18 @@
     return check
 
 
+def seconds(value):
+    """Whole seconds, from the file or as the environment has them.
+
+    >>> seconds("2"), seconds(3600)
+    (2, 3600)
+    """
+    whole = int(value) if isinstance(value, str) and value.isdigit() else value
+    if isinstance(whole, bool) or not isinstance(whole, int) or not 1 <= whole <= 3600:
+        raise Invalid(f"is not whole seconds from 1 to 3600: {value!r}")
+    return whole
+
+
 def maybe(check):
     return lambda value: None if value is None else check(value)
 
@@ -123,6 +135,8 @@
     # Where the operators call; without it nobody listens for them.
     Optional("console", default=None): Any(None, address),
     Optional("seed", default="0"): object,
+    # Seconds from one log line of counts to the next.
+    Optional("counts", default=5): seconds,
     # Where this node's processes find each other when one takes over from another; without it none does.
     Optional("folder", default=None): Any(None, str),
     Optional("limits", default=dict): table({Optional("sockets", default=1024): number(32)}),
@@ -190,7 +204,7 @@
         conf["billedValueBy"] == "work", limits["probes"], int(limits["maxOpen"]))
 
 
-def read_node(environ, first=("name", "listen", "discovery", "console")):
+def read_node(environ, first=("name", "listen", "discovery", "console", "counts")):
     """What a node is told: BALANCER_CONFIG names the file; `first`: where the environment goes before."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
--- a/grebedyke/service/console.py
+++ b/grebedyke/service/console.py
@@ -90,7 +90,8 @@
     def rule(self, now, caller, name, out):
         known = self.by_hand(now, name, out)
         if known:
-            logger.info("executor {} by hand: {}", name, "out" if out else "in use again")
+            logger.info("executor {executor} by hand: {state}", event="by-hand", executor=name,
+                        state="out" if out else "in use again")
         caller.answer(*(200, "out" if out else "in use") if known else (404, "no such executor"))
 
     def close(self):
--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -5,6 +5,7 @@
 
 from grebedyke import ledger
 from grebedyke.ledger.door import Flight, Owed
+from grebedyke.service import log
 from grebedyke.wire import reports, words
 from grebedyke.wire.executors import BROKEN, UNSENT
 
@@ -145,6 +146,8 @@
     def end(self, now, flight, outcome, result=b"", free=None):
         owed = flight.owed
         flight.end()
+        if outcome != ledger.OK:
+            self.gauges.count(log.ENDS[outcome])
         if outcome == ledger.OK and owed.client:
             self.reply(now, owed, 200, "succeeded", result)
         self.dispatcher.ended(now, owed.id, flight.n, outcome, owed.client is None, free)
@@ -208,7 +211,7 @@
     def overslept(self, now, owed):
         if owed.client:
             if self.gauges.few("odd"):
-                logger.warning("invocation unanswered at its due time: errored")
+                logger.warning("invocation unanswered at its due time: errored", event="overslept")
             self.reply(now, owed, 500, "errored")
             self.dispatcher.left(now, owed.id)
             for flight in owed.flights:
@@ -231,6 +234,8 @@
         if key is not None:
             headers.append((b"Idempotency-Key", key))
         self.gauges.count("forwards")
+        if flight.n:
+            self.gauges.count("again")
         flight.call = endpoint.call(method, target, headers, owed.body, partial(self.came, flight))
         self.turn.at(min(now + allowed, owed.due - 2 * self.tick), self.overdue, flight)
         self.turn.at(now + self.probe_wait, self.unheard, flight)
@@ -274,6 +279,7 @@
             call.drop()
             once(now, ledger.TIMEOUT)
 
+        self.gauges.count("probes")
         call = endpoint.call(b"GET", self.probe_path, (), b"", came)
         self.turn.at(now + self.probe_wait, silent)
 
@@ -287,4 +293,4 @@
         self.watch.ask(now)
 
     def note(self, now, text):
-        logger.info("{}", text)
+        logger.info("{text}", event="cutoffs", text=text)
--- a/grebedyke/service/handover.py
+++ b/grebedyke/service/handover.py
@@ -138,7 +138,7 @@
             os.rename(own, self.path)
         except OSError as problem:
             sock.close()
-            return logger.warning("no handover: {}", problem)
+            return logger.warning("no handover: {why}", event="handover-none", why=str(problem))
         self.withdraw()
         sock.setblocking(False)
         self.server, self.offered = sock, True
@@ -188,7 +188,7 @@
                 self.given.set_result(fds[:])
                 fds.clear()
             elif kind == "ready":
-                logger.info("a new process serves beside this one")
+                logger.info("a new process serves beside this one", event="handover-ready")
                 self.ready = True
                 self.withdraw()
             elif kind in self.take:
@@ -197,7 +197,7 @@
                 channel.close()
         except Exception:
             # A word that is not understood must not end what goes on serving.
-            logger.exception("handover: a word of the other process failed")
+            logger.exception("handover: a word of the other process failed", event="handover-fault")
         finally:
             for fd in fds:
                 os.close(fd)
@@ -212,7 +212,7 @@
             self.heir, self.ready = None, False
             self.shared(False)
             if self.offered and not self.server:
-                logger.warning("the new process has gone, this one goes on alone")
+                logger.warning("the new process has gone, this one goes on alone", event="handover-gone")
                 self.offer()
 
     def tell(self, kind, **message):
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -49,7 +49,7 @@
     def enter(self, phase):
         if phase not in ALLOWED[self.phase]:
             raise RuntimeError(f"no way from {self.phase.value} to {phase.value}")
-        logger.info("phase {} -> {}", self.phase.value, phase.value)
+        logger.info("phase {before} -> {after}", event="phase", before=self.phase.value, after=phase.value)
         self.phase = phase
 
     async def serve(self):
@@ -95,14 +95,15 @@
 
     def each_second(self, now, count):
         self.pool.sweep(now)
-        if count % 5 == 0:
+        if count % self.said["counts"] == 0:
             self.gauges.report()
         self.turn.at(now + SECOND, self.each_second, count + 1)
 
     def amiss(self, loop, context):
         """What asyncio meets outside of a turn, as a lack of descriptors: logged, never the end."""
         if self.gauges.few("faults"):
-            logger.opt(exception=context.get("exception")).error("loop: {}", context.get("message"))
+            logger.opt(exception=context.get("exception")).error(
+                "loop: {why}", event="loop-fault", why=context.get("message"))
 
     def reload(self, passed_on=False):
         """Settings, the other nodes and discovery's address may change; a faulty file leaves all as it was.
@@ -118,11 +119,13 @@
             in_force = self.renew(said) if self.differs(said) else None
         except Exception as problem:
             # Whatever is wrong with the file, the node goes on: ending here would be a crash.
-            return logger.error("reload refused, the old configuration stays in force: {}", problem)
+            return logger.error("reload refused, the old configuration stays in force: {why}",
+                                event="reload-refused", why=str(problem))
         (host, port), self.said = said["discovery"], said
         moved = (host, port) != self.watch.address
-        logger.info("reload done, discovery at {}:{} ({}), settings {}", host, port,
-                    "moved" if moved else "as before", "changed" if in_force else "as before")
+        logger.info("reload done, discovery at {host}:{port} ({moved}), settings {settings}", event="reload",
+                    host=host, port=port, moved="moved" if moved else "as before",
+                    settings="changed" if in_force else "as before")
         self.watch.move(host, port)
         if in_force:
             # Between two turns' decisions: what has come in before goes by the old settings, whole.
--- a/grebedyke/service/turn.py
+++ b/grebedyke/service/turn.py
@@ -113,4 +113,5 @@
             return call(now, *args)
         except Exception:
             if self.gauges.few("faults"):
-                logger.exception("turn: {} failed", getattr(call, "__qualname__", call))
+                logger.exception("turn: {call} failed", event="turn-fault",
+                                 call=getattr(call, "__qualname__", str(call)))
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -58,7 +58,7 @@
         except Exception:
             # One bad message must not end more than its own connection.
             if self.door.turn.gauges.few("faults"):
-                logger.exception("client connection: a message could not be read")
+                logger.exception("client connection: a message could not be read", event="client-fault")
             self.reply(500, close=True)
         if self.owed is None and not self.last and self.parser.begun():
             if self.parser.waits:
@@ -244,7 +244,7 @@
                 raise TypeError("id and from are texts")
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             if self.turn.gauges.few("odd"):
-                logger.warning("call-back not understood: {!r}", problem)
+                logger.warning("call-back not understood: {why}", event="call-back-odd", why=repr(problem))
             return
         self.turn.put(self.news, id, name, state, result, told.get("load"))
 
--- a/grebedyke/wire/discovery.py
+++ b/grebedyke/wire/discovery.py
@@ -29,7 +29,8 @@
         rows.append((name, place, row.get("zone"), row.get("type"), row.get("group"), state,
                      figure(row.get("since_ms"), 0), figure(row.get("weight"), 1)))
     if odd:
-        logger.warning("discovery: {} odd lines left out, the first: {}", len(odd), odd[0])
+        logger.warning("discovery: {lines} odd lines left out, the first: {first}", event="list-odd",
+                       lines=len(odd), first=odd[0])
     return rows
 
 
@@ -54,7 +55,7 @@
             while message := self.parser.next():
                 self.watch.answered(self, *message)
         except (http.Bad, ValueError, KeyError, TypeError, AttributeError) as problem:
-            logger.warning("discovery: answer not understood: {!r}", problem)
+            logger.warning("discovery: answer not understood: {why}", event="list-fault", why=repr(problem))
             self.abort()
 
     def eof_received(self):
@@ -132,6 +133,7 @@
         target = b"/discovery/hosts"
         if self.index is not None:
             target += b"?after=%d&wait_ms=%d" % (self.index, self.wait // 10)
+        self.turn.gauges.count("lists")
         self.agent.send(http.request(b"GET", target, b"%s:%d" % (self.address[0].encode(), self.address[1])))
 
     def answered(self, agent, status, headers, body):
@@ -144,12 +146,13 @@
         self.asking = False
         if self.index is not None and version < self.index:
             # Of a copy that lags, or a discovery that began anew: changes would be applied to another list.
-            logger.warning("discovery: version {} after {}, the whole list is asked for", version, self.index)
+            logger.warning("discovery: version {version} after {before}, the whole list is asked for",
+                           event="list-older", version=version, before=self.index)
             self.index = None
             return self.turn.after(PAUSE, self.ask)
         self.index = version
         if self.down:
-            logger.info("discovery answers again, version {}", self.index)
+            logger.info("discovery answers again, version {version}", event="list-again", version=self.index)
             self.down = False
         if listing.get("snapshot") or rows:
             self.turn.put(self.told, bool(listing.get("snapshot")), rows)
@@ -180,7 +183,8 @@
     def fail(self):
         self.asking = False
         if not self.down and not self.over:
-            logger.warning("discovery does not answer; the last list, version {}, stays in force", self.index)
+            logger.warning("discovery does not answer; the last list, version {version}, stays in force",
+                           event="list-down", version=self.index)
             self.down = True
         self.turn.put(self.failed)
         if self.again:
--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -63,7 +63,8 @@
                 self.got(*message)
         except http.Bad as problem:
             if self.endpoint.pool.turn.gauges.few("odd"):
-                logger.warning("executor {}: answer not understood: {}", self.endpoint.name, problem)
+                logger.warning("executor {executor}: answer not understood: {why}", event="answer-odd",
+                               executor=self.endpoint.name, why=str(problem))
             self.abort()
 
     def got(self, status, headers, body):
@@ -124,6 +125,7 @@
         if not (self.address and self.pool.room()):
             self.pool.turn.put(lambda now: call.end(UNSENT))
             return call
+        self.pool.turn.gauges.count("connects")
         call.opened, call.task = True, self.pool.loop.create_task(self.open(call))
         # Connecting has a limit of its own, far under the forward's: a vanished machine never comes up.
         self.pool.turn.after(self.pool.connect, self.late, call)
--- a/grebedyke/wire/peers.py
+++ b/grebedyke/wire/peers.py
@@ -29,7 +29,8 @@
             transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=own)
         except OSError as problem:
             # Without words nothing is lost: each ask is answered by silence, and the node goes on.
-            return logger.error("peers: cannot listen at {}:{}: {}", *own, problem.strerror)
+            return logger.error("peers: cannot listen at {host}:{port}: {why}", event="peers-fault",
+                                host=own[0], port=own[1], why=problem.strerror)
         if own == self.own:
             self.transport = transport
         else:
