--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 
 lint: build
 	.venv/bin/pip -q install ruff==0.14.5
-	.venv/bin/ruff check grebedyke tests
+	.venv/bin/ruff check grebedyke tests benchmarks
 
 test: build
 	.venv/bin/pip -q install pytest==8.4.2
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run by hand; no part of the tests."""
--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -220,7 +220,7 @@
     except ValueError as problem:
         fail(str(problem))
     clients = asyncio.run(hand_in(places, ends, plan, seed, retries, known))
-    finish(report.summary(clients, clients.ledger.judge() if ends else []), json_path)
+    finish(report.summary(clients, clients.ledger.judge() if ends else None), json_path)
 
 
 def operation(text, timeout):
--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -50,6 +50,7 @@
             name = self.random.choice([*self.nodes])
             entry = self.ledger.enter(f"{name}-{mark}-{again}", arrival.operation, key, intended)
             back = await self.hand_in(name, arrival, entry, again)
+            entry.ended = self.loop.time()
             if back is None:
                 break
             await asyncio.sleep(back or self.backoff * 2 ** again)
--- a/grebedyke/load/ledger.py
+++ b/grebedyke/load/ledger.py
@@ -50,7 +50,8 @@
 
     def counts(self):
         """By outcome, of invocations whose client stayed."""
-        count = Counter(taken=0, succeeded=0, throttled=0, errored=0, lost=0, left=0, refused=0, further=0)
+        names = "taken", "succeeded", "throttled", "errored", "open", "lost", "left", "refused", "further"
+        count = Counter(dict.fromkeys(names, 0))
         for entry in self.entries.values():
             count["further"] += max(len(self.forwards[entry.id]) - 1, 0)
             if entry.refused or entry.left:
@@ -59,7 +60,7 @@
             count["taken"] += 1
             status = entry.answers[0][1] if entry.answers else 0
             count["succeeded" if status == 200 else "throttled" if status in THROTTLED else
-                  "errored" if status else "lost"] += 1
+                  "errored" if status else "lost" if entry.ended else "open"] += 1
         return count
 
     def judge(self):
--- a/grebedyke/load/report.py
+++ b/grebedyke/load/report.py
@@ -3,8 +3,12 @@
 
 
 def summary(clients, broken):
-    """Plain types: counts by outcome, waits in milliseconds, how late the tool ran, broken rules."""
-    return {"counts": dict(clients.ledger.counts()), "waits_ms": clients.percentiles(),
+    """Plain types: counts by outcome, waits in milliseconds, how late the tool ran, broken rules.
+
+    `broken`: None where they could not be judged, as nobody told what took effect.
+    """
+    judged, broken = broken is not None, broken or []
+    return {"judged": judged, "counts": dict(clients.ledger.counts()), "waits_ms": clients.percentiles(),
             "tool_late_ms": round(clients.late * 1000, 1),
             "broken": [{"rule": b.rule, "id": b.id, "what": b.what} for b in broken]}
 
@@ -20,7 +24,10 @@
         yield f"rule {b['rule']} broken by {b['id']}: {b['what']}"
     if len(told["broken"]) > 20:
         yield f"and {len(told['broken']) - 20} more"
-    yield f"rules: {len(told['broken'])} broken" if told["broken"] else "rules: all kept"
+    if told["judged"]:
+        yield f"rules: {len(told['broken'])} broken" if told["broken"] else "rules: all kept"
+    else:
+        yield "rules: not judged, as no executor was named to tell what took effect"
 
 
 def write(path, told):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -225,6 +225,7 @@
                                       str(tmp_path / "told.json")))
     told = json.loads((tmp_path / "told.json").read_text())
     assert result.exit_code == 0 and told["counts"]["refused"] > 0 == told["counts"]["taken"]
+    assert "rules: not judged" in result.output and not told["judged"]
 
 
 def test_the_demo_serves_through_a_death_and_a_hang(tmp_path):
