--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -49,7 +49,8 @@
         self.operations, self.command, self.faults, self.seed = operations, command, faults or {}, seed
         self.count, self.slots, self.cold = executors, slots, cold
         self.folder = tempfile.TemporaryDirectory(prefix="grebedyke-")
-        self.nodes = {f"n{i}": ("127.0.0.1", free_port()) for i in range(nodes)}
+        # Ports are drawn when a node starts: drawn before, those of executors' listeners could take them.
+        self.nodes = dict.fromkeys((f"n{i}" for i in range(nodes)), None)
         self.discovery, self.executors, self.processes = None, {}, {}
 
     async def start(self):
@@ -69,6 +70,16 @@
         return self
 
     async def open(self, name):
+        for tries in range(3):
+            self.nodes[name] = "127.0.0.1", free_port()
+            try:
+                return await self.launch(name)
+            except OSError as problem:
+                # Between the drawing of a port and its use another connection may have been given it.
+                if tries == 2 or "address already in use" not in str(problem):
+                    raise
+
+    async def launch(self, name):
         me = [*self.nodes].index(name)
         path = Path(self.folder.name, f"{name}.json")
         path.write_text(json.dumps({
