The rest after a late start is bounded by an eighth of a second a node

Credit under one means that a node has to rest between forwards; the more nodes there are, the longer. Change: the bound grows with the number of nodes (three: 0.4 s, sixteen: 2 s).

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -199,9 +199,9 @@
             e.trimmed = now + SECOND // 2
             e.credit = max(0.1, runs, e.credit * max(0.4, 2 * self.quick / wait))
             self.trims.add(now)
-        # Many nodes at few slots: one forward each would be too much; credit under one rests in between. A
-        # quarter second at most, as after a failure: a start 3 s late, at a hang's end, cost half a minute.
-        rest = min(int(took * max(1 / e.credit - 1, 0)), SECOND // 4)
+        # Many nodes at few slots: one forward each would be too much; credit under one rests in between. The
+        # bound grows with the nodes: a start 3 s late, at a hang's end, cost one of three half a minute.
+        rest = min(int(took * max(1 / e.credit - 1, 0)), self.nodes * SECOND // 8)
         e.shut = max(e.shut, now + rest)
 
     def probed(self, now, id, outcome, free, held):
