Configuration as a package: checks below all, settings, reading; commands and entry part ways

Need: parts of the fleet to come bring their own sections and checks, which lie below service/; commands/main.py and __main__.py imported each other. Change: grebedyke/checks.py (values and the one plain line), service/configuration/ (terms, reading, schema, spelled), service/start.py (environment to exit code). No behaviour changes.

--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -39,7 +39,7 @@
 @click.option("--log-format", default="text", type=click.Choice(("text", "json")))
 def run(log_level, log_format):
     """One node in the foreground, told all by BALANCER_CONFIG and the environment (see README)."""
-    from grebedyke.__main__ import node_of
+    from grebedyke.service.start import node_of
     sys.exit(node_of(os.environ, log_level, False, log_format))
 
 
@@ -57,7 +57,7 @@
       grebedyke check node.toml --explain
     """
     from grebedyke.service import configuration
-    from grebedyke.service import schema as known
+    from grebedyke.service.configuration import schema as known
     if schema:
         for line in known.page(configuration.all_keys()):
             click.echo(line)
@@ -77,7 +77,7 @@
 
 def where(path, problem):
     """File, line, key and reason in one line."""
-    from grebedyke.service import spelled
+    from grebedyke.service.configuration import spelled
     text = str(problem).replace("BALANCER_CONFIG ", "").replace("BALANCER_CONFIG: ", "")
     if not path or not problem.path:
         return f"{path}: {text}" if path else str(problem)
--- /dev/null
+++ b/grebedyke/service/configuration/__init__.py
@@ -0,0 +1,9 @@
+"""The one place where what is told at start is read, checked and given defaults.
+
+The same settings come in the simulator's first message and in a node's configuration; both end here.
+"""
+from grebedyke.checks import Unusable, tenths
+from grebedyke.service.configuration.reading import all_keys, in_force, parse, read_node
+from grebedyke.service.configuration.terms import open_dispatcher, terms
+
+__all__ = ["Unusable", "all_keys", "in_force", "open_dispatcher", "parse", "read_node", "tenths", "terms"]
--- a/grebedyke/service/spelled.py
+++ b/grebedyke/service/configuration/spelled.py
@@ -34,7 +34,7 @@
     {'windowMs': 2000, 'resendRatio': 0.17, 'counts': 60, 'name': '2 s of Pécs'}
     >>> plain({"rules": {"coldFrom": "2 s"}})
     Traceback (most recent call last):
-    grebedyke.service.spelled.Misspelt: is a share, not a time: '2 s'
+    grebedyke.service.configuration.spelled.Misspelt: is a share, not a time: '2 s'
     """
     if isinstance(value, dict):
         return {key: plain(x, (*path, key)) for key, x in value.items()}
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -7,7 +7,8 @@
 from test_service import TERMS, told
 
 from grebedyke.commands.main import cli
-from grebedyke.service import configuration, schema
+from grebedyke.service import configuration
+from grebedyke.service.configuration import schema
 
 TEXT = """\
 name = "n1"
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -9,8 +9,10 @@
 from loguru import logger
 from test_service import EFFECTS, ROW, TERMS, Worker, ask, free_port, told
 
+from grebedyke.checks import checked
 from grebedyke.service import configuration, node
 from grebedyke.service.assembly import assemble
+from grebedyke.service.configuration.reading import NODE
 from grebedyke.service.handover import PIECE, Channel, Handover
 
 
@@ -100,7 +102,7 @@
         def process(known):
             said = told(listen="%s:%d" % address, folder=str(tmp_path), console="127.0.0.1:%d" % free_port(),
                         known={"index": 1, "endpoints": known}, settings={**TERMS, "operations": EFFECTS})
-            said = configuration.checked(configuration.NODE, said)
+            said = checked(NODE, said)
             said["settings"] = configuration.terms(said["settings"])
             work = assemble(loop, said, lambda: said)
             return work, loop.create_task(work.serve()), said["console"]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,8 +10,10 @@
 from helpers import HAND_IN, NOW, Loop, Told, floor, join, news, say, still
 from loguru import logger
 
+from grebedyke.checks import checked
 from grebedyke.service import configuration, node
 from grebedyke.service.assembly import assemble
+from grebedyke.service.configuration.reading import NODE
 from grebedyke.service.log import Gauges
 from grebedyke.service.switch import switch
 from grebedyke.service.turn import Turn
@@ -155,7 +157,7 @@
 
     async def story(calls_back):
         executor = await Executor().start()
-        said = configuration.checked(configuration.NODE, told(known={
+        said = checked(NODE, told(known={
             "index": 1, "endpoints": [{**ROW, "address": executor.address}]}))
         said["settings"] = configuration.terms(said["settings"])
         work = assemble(asyncio.get_running_loop(), said, None)
