Commands for plans, members and torture; tests of several processes with faults between them

Need: operators type plans and see where machines stand; every piece is to be proven by processes with faults between them. Each kind of fault comes once before any twice.

--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -7,17 +7,10 @@
 
 import click
 
+from grebedyke.commands import fleet as fleet_commands
+from grebedyke.commands.say import fail
 from grebedyke.fleetlog import reading, showing, summing
 
-BAD = 2
-
-
-def fail(message, code=BAD):
-    """One plain line, whatever went wrong."""
-    click.echo(f"grebedyke: {message}", err=True)
-    sys.exit(code)
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
 def cli():
     """Dispatcher that pushes jobs of unknown size to tiers of workers (TAGS).
@@ -326,5 +319,9 @@
         fail(f"cannot listen: {problem.strerror}", 1)
 
 
+for command in (fleet_commands.maintenance, fleet_commands.members, fleet_commands.torture):
+    cli.add_command(command)
+
+
 if __name__ == "__main__":
     cli()
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of real processes that are one fleet: relays between them, doors before the rest, folders, clocks."""
+"""Real processes that are one fleet: relays between them, doors before the rest, folders, clocks."""
 
 import asyncio
 import json
@@ -43,7 +43,7 @@
         return Path(self.folder.name, f"{name}.{what}")
 
     def told(self, name):
-        """What is in a node's file; its ports are drawn when it starts, as those before may be taken by now."""
+        """What is in a node's file; its ports are drawn when it first starts."""
         i = self.number(name)
         self.consoles[name] = self.consoles.get(name) or ("127.0.0.1", plain.free_port())
         self.own[name] = self.own.get(name) or ("127.0.0.1", plain.free_port())
--- a/grebedyke/rig/judge.py
+++ b/grebedyke/rig/judge.py
@@ -1,4 +1,4 @@
-"""The judge of a round with real processes: by clients, executors and logs, with no helper of what is judged."""
+"""The judge of a round with real processes: by clients, executors and logs, no helper of what is judged."""
 
 from collections import Counter, defaultdict
 
@@ -53,7 +53,7 @@
             self.fault("work goes on", f"{dict(counts)}")
 
     def logs(self, events, most):
-        """All nodes tell one story: one change for each number, in an order that is allowed, within limits."""
+        """All nodes tell one story: one change for each number, in an allowed order, within limits."""
         story, plans = {}, {}
         for node, event in events:
             if event["event"] == "machine":
--- a/grebedyke/rig/launch.py
+++ b/grebedyke/rig/launch.py
@@ -1,7 +1,7 @@
 """Starts one node of the real program with another clock or another disk: python -m grebedyke.rig.launch.
 
-GREBEDYKE_RIG holds JSON: `rate` (of its monotonic clock), `wall` (seconds by which its wall clock is off), and
-`disk`, a file with the faults of its disk, which may change while it runs. Only the rig sets it.
+GREBEDYKE_RIG holds JSON: `rate` (of its monotonic clock), `wall` (seconds by which its wall clock is off),
+and `disk`, a file with the faults of its disk, which may change while it runs. Only the rig sets it.
 """
 
 import asyncio
--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -1,4 +1,4 @@
-"""One round with real processes: a plan, work going on, faults that a seed draws, and what is judged of it."""
+"""One round with real processes: a plan, work going on, faults drawn by a seed, and what is judged of it."""
 
 import asyncio
 import random
@@ -128,7 +128,7 @@
         return 0, ""
 
     async def work(self):
-        """The operators' hands: each machine that any node tells free is worked at, started anew, given back."""
+        """The operators' hands: each machine told free is worked at, started anew and given back."""
         while True:
             if name := self.any_up():
                 told = await self.rig.status(name)
@@ -160,10 +160,11 @@
 
     async def trouble(self):
         end = time.monotonic() + self.seconds
-        pending = []
-        while time.monotonic() < end:
+        pending, first = [], self.random.sample(self.kinds, len(self.kinds))
+        while time.monotonic() < end or first and self.pace >= 1:
             await asyncio.sleep(self.random.expovariate(1) * 1.5 / self.pace)
-            kind = self.random.choice(self.kinds)
+            # Each kind once before any twice: a fault that did not happen proves nothing.
+            kind = first.pop() if first else self.random.choice(self.kinds)
             pending.append(asyncio.ensure_future(FAULTS[kind](self)))
         await asyncio.gather(*pending)
 
--- a/grebedyke/service/configuration/reading.py
+++ b/grebedyke/service/configuration/reading.py
@@ -74,6 +74,19 @@
         raise Unusable("BALANCER_CONFIG is not JSON: it is nested too deeply") from None
 
 
+def parse_plain(data, name):
+    """The tree of another file that people write: JSON, or TOML with units; its keys are not checked."""
+    from grebedyke.service.configuration import spelled
+    try:
+        if name.endswith(".toml"):
+            return spelled.read(data.decode())
+        return json.loads(data, object_pairs_hook=once, parse_constant=no_number)
+    except spelled.Misspelt as problem:
+        raise Unusable(f"{'.'.join(map(str, problem.path))} {problem.why}".strip()) from None
+    except (ValueError, RecursionError) as problem:
+        raise Unusable(f"is neither JSON nor TOML: {problem}") from None
+
+
 def no_number(word):
     raise ValueError(f"{word} is no number")
 
