--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -329,12 +329,10 @@
         fleet.widest = max(fleet.widest, slots)
         spare = max(0.0, op.stretch - 1 / fleet.pace) * size * 0.7
         # A client's repeat keeps its first try's client timeout: what is left of it tells when that came.
-        # With less than a quarter left it is no repeat, which come soon, but a client in a hurry: what can
-        # end goes.
+        # Of clients in a hurry too: sent while their size fits, they pushed others into lateness (200 nodes).
         op.span = max(op.span, due - now)
-        hurry = 4 * (due - now) < op.span
-        inv.first, runs = (now, int(size / fleet.pace)) if hurry else (due - op.span, 0)
-        inv.latest = min(inv.first + int(op.objective * 0.6 + spare), due - 4 * self.tick - runs)
+        inv.first = due - op.span
+        inv.latest = min(inv.first + int(op.objective * 0.6 + spare), due - 4 * self.tick)
         if asker is None:
             self.cutoffs.arrivals.add(now)
             self.budget.took.add(now)
