--- a/grebedyke/maintenance/part.py
+++ b/grebedyke/maintenance/part.py
@@ -131,6 +131,10 @@
         self.watching = names
         self.leaving_since = {name: self.leaving_since.get(name, now) for name in names}
 
+    def concerns(self):
+        """Executors that this part may have had out before."""
+        return [*self.board["at"]] if self.board else []
+
     def busy(self, now, names):
         if frozenset(names) != self.open:
             self.open, self.next = frozenset(names), now
--- a/grebedyke/service/fleet.py
+++ b/grebedyke/service/fleet.py
@@ -67,6 +67,7 @@
         by_hand,
         busy,
         lambda: desk.dispatcher.fleet.all,
+        lambda: desk.dispatcher.fleet.banned,
     )
 
     def heard(now, by, data):
--- a/grebedyke/service/parts.py
+++ b/grebedyke/service/parts.py
@@ -20,17 +20,13 @@
 
 class Parts:
     """`send(node, bytes)`; `by_hand(now, name, out)` gives whether the node knows that executor;
-    `busy(names)` which of them have forwards open here; `listed()` all names on the list."""
+    `busy(names)` which of them have forwards open here; `listed()` all names on the list,
+    `banned()` those that are out by hand."""
 
-    def __init__(self, loop, turn, files, fleet, parts, send, by_hand, busy, listed):
+    def __init__(self, loop, turn, files, fleet, parts, send, by_hand, busy, listed, banned):
         self.loop, self.turn, self.files, self.parts = loop, turn, files, parts
-        self.mark, self.send, self.by_hand, self.names_open, self.names = (
-            frames.mark(fleet),
-            send,
-            by_hand,
-            busy,
-            listed,
-        )
+        self.mark, self.send, self.by_hand = frames.mark(fleet), send, by_hand
+        self.names_open, self.names, self.banned = busy, listed, banned
         self.whole, self.number = frames.Whole(self.mark), 0
         self.disk = ThreadPoolExecutor(1, "disk")
         self.begun, self.waiting, self.now_out, self.operators, self.heirless = (
@@ -68,6 +64,10 @@
                 part.recalled(now, records)
         except keeping.Foreign as problem:
             raise Unusable(f"setting fleet.folder is not this node's: {problem}") from None
+        # Bans that came along from the process before: a part's own end by its word.
+        known = {name for part in self.parts if part.bans for name in part.concerns()}
+        self.now_out |= known & {*self.banned()}
+        self.operators |= {*self.banned()} - known - self.now_out
         self.begun = True
         self.turn.put(lambda now: None)
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -14,6 +14,7 @@
 from grebedyke.rig.fleet import Rig
 from grebedyke.rig.judge import Judge
 from grebedyke.service.files import Files
+from grebedyke.standin import talk
 
 # Each fault comes in some round: one that did not happen proves nothing.
 ROUNDS = ((1, ("kill", "older folder", "copy")), (2, ("cut", "stall", "bad links")),
@@ -155,6 +156,43 @@
     assert run("maintenance", "status", "--node", "10.0.0.1:9")[0] == 2
 
 
+def test_a_new_process_beside_the_old_one_keeps_what_is_out():
+    async def story():
+        rig = Rig(rounds.OPERATIONS, 3, 4)
+        try:
+            await rig.start()
+            plan, told = {"machines": ["s-1"], "most": 1, "workMs": 60_000}, (0, "")
+            while told[0] != 200:
+                told = await rig.call("n0", "POST", "/v1/maintenance/plan", plan)
+            while (told := await rig.status("n1"))["machines"][0]["state"] != "free":
+                await asyncio.sleep(0.05)
+            number = told["machines"][0]["number"]
+            # An operator's own word, beside the plan's.
+            assert (await rig.call("n1", "POST", "/v1/executors/s-2/suspend"))[0] == 200
+            old, rig.consoles["n1"] = rig.processes["n1"], None
+            await rig.launch("n1")
+            old.terminate()
+            await asyncio.wait_for(old.wait(), 10)
+            told = None
+            while not (told and told["sure"]):
+                told = await rig.status("n1")
+                await asyncio.sleep(0.05)
+            assert told["machines"][0] == {"name": "s-1", "state": "free", "number": number}
+            assert (await rig.call("n0", "POST", f"/v1/maintenance/back/s-1/{number}"))[0] == 200
+            executor, other = rig.executors["s-1"], rig.executors["s-2"]
+            before, asked = len(executor.forwards), 0
+            while len(executor.forwards) == before and asked < 200:
+                asked += 1
+                await talk.call(rig.nodes["n1"], "POST /view/k HTTP/1.1", b'{"work_ms": 5}',
+                                X_Request_ID=f"n1-{asked}", X_Timeout_Ms=4000)
+            # What came along from the old process ends by the plan's word; the operator's stays.
+            return asked, [id for id, _ in other.forwards]
+        finally:
+            await rig.close()
+    asked, reached = asyncio.run(story())
+    assert 0 < asked < 200 and not reached
+
+
 def test_what_is_off_is_not_even_imported():
     code = ("import sys, grebedyke.service.start; "
             "print([m for m in sys.modules if 'agreement' in m or 'maintenance' in m or m == 'msgpack'])")
