Rig: addresses of its own for each round, lying and torn disks before a kill

Cause: of 60 rounds three failed by the rig itself: a node that started anew found its address taken by another round's connection (127.0.0.1), and a folder was copied while its node replaced a file. Ruled out: the nodes, whose rounds were otherwise whole. Change: each rig has a loopback address of its own, copies leave half-written files out; disks that lie and that tear come with a kill.

--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -18,9 +18,9 @@
 STARTS = 10.0      # seconds that nodes get to be ready
 
 
-def free_port():
+def free_port(host="127.0.0.1"):
     with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
+        s.bind((host, 0))
         return s.getsockname()[1]
 
 
@@ -47,7 +47,7 @@
                  faults=None,
                  seed=0, slots=4, cold=0.3):
         self.operations, self.command, self.faults, self.seed = operations, command, faults or {}, seed
-        self.count, self.slots, self.cold = executors, slots, cold
+        self.count, self.slots, self.cold, self.host = executors, slots, cold, "127.0.0.1"
         self.folder = tempfile.TemporaryDirectory(prefix="grebedyke-")
         # Ports are drawn when a node starts: drawn before, those of executors' listeners could take them.
         self.nodes = dict.fromkeys((f"n{i}" for i in range(nodes)), None)
@@ -71,7 +71,7 @@
 
     async def open(self, name):
         for tries in range(3):
-            self.nodes[name] = "127.0.0.1", free_port()
+            self.nodes[name] = self.host, free_port(self.host)
             try:
                 return await self.launch(name)
             except OSError as problem:
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -25,6 +25,8 @@
     def __init__(self, operations, nodes=5, executors=6, voters=3, seed=0, words=False, maintenance=True):
         super().__init__(operations, nodes, executors, LAUNCH, seed=seed)
         self.voters, self.words, self.maintenance = list(range(min(voters, nodes))), words, maintenance
+        # A node that starts anew needs its own address back: nothing of another round is on this one.
+        self.host = f"127.{64 + os.getpid() % 128}.{seed % 250}.9"
         self.links, self.doors, self.done = None, {}, Counter()
         self.consoles, self.own, self.rates, self.stopped, self.lives = {}, {}, {}, set(), Counter()
 
@@ -45,8 +47,8 @@
     def told(self, name):
         """What is in a node's file; its ports are drawn when it first starts."""
         i = self.number(name)
-        self.consoles[name] = self.consoles.get(name) or ("127.0.0.1", plain.free_port())
-        self.own[name] = self.own.get(name) or ("127.0.0.1", plain.free_port())
+        self.consoles[name] = self.consoles.get(name) or (self.host, plain.free_port(self.host))
+        self.own[name] = self.own.get(name) or (self.host, plain.free_port(self.host))
         zone = plain.ZONES[i % len(plain.ZONES)]
         settings = plain.settings(self.operations, len(self.nodes), i, zone)
         settings["limits"]["peerMessages"] = self.words
@@ -149,7 +151,8 @@
         here, older = self.path(name, "folder"), self.path(name, "older")
         shutil.rmtree(older, ignore_errors=True)
         if here.exists():
-            shutil.copytree(here, older)
+            # Its node goes on writing: only whole files, not the one that is about to replace one.
+            shutil.copytree(here, older, ignore=shutil.ignore_patterns("*.new"))
             self.done["copied"] += 1
 
     def disk(self, name, *faults):
--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -283,6 +283,21 @@
             if name in self.forgetful:
                 await self.remembered(name)
 
+    async def lying_disk(self):
+        """Says done for a while and is not, or keeps half; then the process is killed."""
+        if name := self.take():
+            start = asyncio.get_running_loop().time()
+            if self.minority(name):
+                self.rig.disk(name, self.random.choice(("lies", "torn")))
+                await self.for_a_while()
+                await self.rig.end(name)
+                self.rig.disk(name)
+                await self.rig.again(name)
+                self.hurt(name, start)
+            self.busy.discard(name)
+            if name in self.forgetful:
+                await self.remembered(name)
+
     async def copy(self):
         self.rig.copy(self.random.choice([*self.rig.nodes]))
 
@@ -312,6 +327,7 @@
     "spoilt folder": lambda r: r.kill("spoilt"),
     "copy": Round.copy,
     "bad disk": Round.bad_disk,
+    "lying disk": Round.lying_disk,
     "bad list": Round.bad_list,
 }
 
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -13,13 +13,14 @@
 from grebedyke.rig import rounds
 from grebedyke.rig.fleet import Rig
 from grebedyke.rig.judge import Judge
+from grebedyke.rig.launch import LyingFiles
 from grebedyke.service.files import Files
 from grebedyke.standin import talk
 
 # Each fault comes in some round: one that did not happen proves nothing.
 ROUNDS = ((1, ("kill", "older folder", "copy")), (2, ("cut", "stall", "bad links")),
-          (3, ("stop", "bad list")), (4, ("empty folder", "bad disk", "spoilt folder")))
-HAPPENED = "folder same", "cut", "held", "lost", "doubled", "spoilt", "stopped", "copied"
+          (3, ("stop", "bad list", "lying disk")), (4, ("empty folder", "bad disk", "spoilt folder")))
+HAPPENED = "folder same", "cut", "held", "lost", "doubled", "spoilt", "stopped", "copied", "disk honest"
 
 
 def test_a_plan_goes_through_a_fleet_under_faults_and_no_invariant_breaks():
@@ -47,6 +48,28 @@
         assert [broken[0] for broken in judge.broken][:1] == ([clause] if clause else []), clause
 
 
+def test_each_way_in_which_a_disk_lies(tmp_path):
+    for kind, raises, kept in (
+            ("", False, b"second"), ("full", True, b"first"), ("read-only", True, b"first"),
+            ("eio", True, b"second"), ("short", True, b"first"), ("torn", False, b"sec"),
+            ("lies", False, b"first")):
+        files = LyingFiles(str(tmp_path / (kind or "honest")), lambda: [])
+        assert files.lock()
+        files.replace("votes", b"first")
+        files.told = lambda: [kind]
+        try:
+            files.replace("votes", b"second")
+        except OSError:
+            assert raises, kind
+        else:
+            assert not raises, kind
+        assert files.read("votes") == kept, kind
+        files.told = lambda: []
+        files.replace("view", b"x")      # honest again: what it had promised is kept at last
+        assert files.read("votes") == (b"second" if kind == "lies" else kept), kind
+        files.close()
+
+
 async def one_node(tmp_path, change):
     """The exit code and last words of a node whose file is changed before it starts."""
     rig = Rig(rounds.OPERATIONS, 3, 2)
