--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -25,8 +25,7 @@
 
 
 def test_rounds_that_once_showed_a_fault_are_played_again():
-    # A value nobody knew to be agreed on; late words that ended later work; losses from before the plan, which
-    # it cannot count.
+    # A value nobody knew to be agreed on; late words that ended later work; losses from before the plan.
     assert [play(seed)[0] for seed in (1, 4, 9, 41, 42, 1055)] == [[]] * 6
 
 
