--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -136,3 +136,8 @@
     assert read(tmp_path, orjson.dumps(said), "node.json")["settings"]["tickMs"] == 5
     with pytest.raises(configuration.Unusable, match="setting novel is unknown"):
         read(tmp_path, "novel = 1\n" + TEXT)
+
+
+def test_the_operators_file_of_a_fleet_is_sound():
+    got = CliRunner().invoke(cli, ["check", "deploy/fleet.toml"])
+    assert (got.exit_code, got.output) == (0, "")
