--- a/grebedyke/rig/world.py
+++ b/grebedyke/rig/world.py
@@ -161,6 +161,11 @@
         part.kept(self.clock(), name, number, done)
         self.pull()
 
+    def whole(self):
+        """Votes, and has on its disk what it votes by: who is let in again forgets if that write fails."""
+        vote = self.parts[0] if self.alive else None
+        return vote and vote.voter.phase == "voting" and not (vote.writing or vote.dirty or self.disk.fails)
+
     def uses(self, name):
         """Whether it may send there: asked at the last moment, as the host on sockets does."""
         now = self.clock()
@@ -380,13 +385,7 @@
         """No protocol outlives the loss of what a majority remembers: one minority at a time forgets."""
         if host.me not in self.voters:
             return True
-        lost = {
-            h.me
-            for h in self.hosts
-            if h.me in self.voters
-            and h is not host
-            and not (h.alive and h.parts[0].voter.phase == "voting" and not h.disk.fails)
-        }
+        lost = {h.me for h in self.hosts if h.me in self.voters and h is not host and not h.whole()}
         return len(lost) + 1 <= (len(self.voters) - 1) // 2
 
     def any_host(self):
