--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -175,7 +175,7 @@
             assert code == 1 and "no majority" in text
         finally:
             await rig.close()
-    asyncio.run(story())
+    asyncio.run(asyncio.wait_for(story(), 90))
     assert run("maintenance", "status", "--node", "10.0.0.1:9")[0] == 2
 
 
@@ -212,7 +212,7 @@
             return asked, [id for id, _ in other.forwards]
         finally:
             await rig.close()
-    asked, reached = asyncio.run(story())
+    asked, reached = asyncio.run(asyncio.wait_for(story(), 60))
     assert 0 < asked < 200 and not reached
 
 
