--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -33,6 +33,8 @@
 CAUGHT = {
     "a vote is answered before it is kept": ({"kinds": ("slow disk", "kill", "all killed"), "faults": 4}, 0),
     "half is taken for a majority": ({}, 3),
+    "a spoilt file is taken for a new member's": (
+        {"kinds": ("spoilt file", "empty folder", "kill"), "faults": 3}, 4),
     "back is taken for warm": ({}, 1),
     "losses without a plan are not counted": ({}, 0),
     "a lease is given to whoever asks": ({}, 1),
