A node tries for its address among the peers until it has it

Cause: after one failed try a node was deaf to the others for good. The fleet's part tried again by itself; a takeover without the section did not. Now the socket's owner does, logs the first failure only.

--- a/grebedyke/service/fleet.py
+++ b/grebedyke/service/fleet.py
@@ -7,7 +7,6 @@
 from grebedyke.ledger import Chance
 from grebedyke.checks import tenths
 from grebedyke.service.files import Files
-from grebedyke.service.node import SECOND, Phase
 from grebedyke.service.parts import LARGEST_CALL, Parts
 
 
@@ -84,14 +83,6 @@
         else:
             parts.do(now, *decision)
 
-    def address_again(now):
-        # The process before may hold the address a moment longer than its word that it has ended: without
-        # another try this node would be deaf to the others from then on.
-        if node.phase == Phase.SERVING and not (node.handover.old or peers.transport):
-            peers.again()
-        turn.at(now + SECOND // 5, address_again)
-
-    turn.after(SECOND // 5, address_again)
     turn.decide, turn.carry, turn.last_look = next_decision, do, parts.last_look
     peers.heard, peers.largest = heard, frames.LARGEST
     desk.also_listed = parts.listed
--- a/grebedyke/wire/peers.py
+++ b/grebedyke/wire/peers.py
@@ -5,6 +5,8 @@
 
 # What other builds may send is bounded too; longer ones are nothing.
 LARGEST = 256
+# Another process of this node may hold the address a moment longer than its word that it has ended.
+AGAIN = 0.2
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -13,32 +15,37 @@
     def __init__(self, loop, turn, heard, largest=LARGEST):
         self.loop, self.turn, self.heard, self.largest = loop, turn, heard, largest
         self.addresses, self.numbers, self.transport, self.own, self.task = [], {}, None, None, None
+        self.failing = False
 
     def move(self, addresses, me):
         """From now on these nodes, by number; the own socket stays as long as its address does."""
         self.addresses, self.numbers = addresses, {address: i for i, address in enumerate(addresses)}
         own = addresses[me] if addresses else None
         if own != self.own:
-            self.own = own
             self.close()
-            if own:
-                self.task = self.loop.create_task(self.open(own))
+            self.own = own
+            self.again()
 
     async def open(self, own):
         try:
             transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=own)
         except OSError as problem:
             # Without words nothing is lost: each ask is answered by silence, and the node goes on.
-            return logger.error("peers: cannot listen at {host}:{port}: {why}", event="peers-fault",
-                                host=own[0], port=own[1], why=problem.strerror)
+            if not self.failing:
+                logger.error("peers: cannot listen at {host}:{port}: {why}", event="peers-fault",
+                             host=own[0], port=own[1], why=problem.strerror)
+            self.failing = True
+            self.loop.call_later(AGAIN, self.again)
+            return
         if own == self.own:
-            self.transport = transport
+            self.transport, self.failing = transport, False
         else:
             transport.close()
+            self.loop.call_soon(self.again)
 
     def again(self):
-        """The address was another process's of this node, which has ended now."""
-        if self.own and not self.transport:
+        """Until it has the address: given up after one try, a node would be deaf from then on."""
+        if self.own and not self.transport and not (self.task and not self.task.done()):
             self.task = self.loop.create_task(self.open(self.own))
 
     def datagram_received(self, data, address):
@@ -57,4 +64,4 @@
     def close(self):
         if self.transport:
             self.transport.close()
-        self.transport = None
+        self.transport = self.own = None
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -212,6 +212,29 @@
     assert asyncio.run(story()) == [(1, b"word")]
 
 
+def test_an_address_that_another_process_holds_is_tried_until_it_is_free():
+    # A process that took over was deaf to the others for good when its one try came a moment too early.
+    async def story(moves):
+        loop, port = asyncio.get_running_loop(), free_port()
+        holder = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        holder.bind(("127.0.0.1", port))
+        peers = Peers(loop, still(Loop()), None)
+        if moves:
+            peers.move([("127.0.0.1", free_port())], 0)      # is still being opened when it moves on
+        peers.move([("127.0.0.1", port)], 0)
+        await asyncio.sleep(0.05)
+        assert not peers.transport and peers.failing
+        holder.close()
+        for _ in range(200):
+            if peers.transport:
+                break
+            await asyncio.sleep(0.05)
+        heard = peers.transport and peers.transport.get_extra_info("sockname")[1]
+        peers.close()
+        return heard == port
+    assert all(asyncio.run(story(moves)) for moves in (False, True))
+
+
 def test_phases_have_one_way():
     for phase, to in ((node.Phase.SERVING, node.Phase.STARTING), (node.Phase.STOPPED, node.Phase.SERVING),
                       (node.Phase.STARTING, node.Phase.STOPPING)):
