--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -295,15 +295,12 @@
 
 
 class Dispatcher:
-    def __init__(self, chance, cutoffs, fleet, shares, budget, operations, tick, cancels, forwards, back,
-                 starts, asks, cross, by_work, probes, most):
-        self.chance, self.cutoffs, self.fleet, self.shares = chance, cutoffs, fleet, shares
-        self.budget = budget
-        self.operations, self.ops, self.tick, self.cancels = operations, [*operations.values()], tick, cancels
-        self.forwards, self.back, self.starts, self.cross, self.asks = forwards, back, starts, cross, asks
-        self.invs, self.held, self.cuts, self.tells = {}, {}, [], fleet.split > 0
+    def __init__(self, chance, parts, operations, tick, by_work, means, bounds):
+        self.chance, (self.cutoffs, self.fleet, self.shares, self.budget) = chance, parts
+        self.operations, self.ops, self.tick, self.by_work = operations, [*operations.values()], tick, by_work
+        self.means, self.bounds, self.tells = means, bounds, self.fleet.split > 0
+        self.invs, self.held, self.cuts, self.probed = {}, {}, [], self.fleet.probed
         self.alarm, self.flow, self.count, self.seen, self.ask_at, self.ask_fails = 0, None, 0, 0, 0, 0
-        self.probes, self.probed, self.most, self.by_work = probes, fleet.probed, most, by_work
         self.words, self.asked, self.leases, self.number = deque(), {}, deque(), int(chance.draw() * 2 ** 31)
 
     def listed(self, now, whole, rows):
@@ -316,7 +313,7 @@
 
     def unlisted(self, now):
         """At start or after a failed ask: spread by the number of nodes; widely only after a failure."""
-        if self.asks:
+        if self.means.asks:
             spread = SECOND * min(0.05 * self.fleet.nodes, 2) * 2 ** self.ask_fails
             self.ask_fails = min(self.ask_fails + 1, 3)
             self.ask_at = now + int(spread * self.chance.draw()) + 1
@@ -338,7 +335,7 @@
             self.budget.took.add(now)
             fleet.mean += 0.1 * (size - fleet.mean) if fleet.mean else size
             # Without start notes nothing tells what a cut gives back.
-            fixed = op.effect != IDEMPOTENT or not (self.cancels and self.starts)
+            fixed = op.effect != IDEMPOTENT or not (self.means.cancels and self.means.starts)
             self.cutoffs.loose += 0.05 * (fixed - self.cutoffs.loose)
             self.hold(inv)
         return inv
@@ -353,7 +350,7 @@
 
     def bid(self, now, id, rank, left, size, tenant, slots, tier, op, again, over):
         """Another node's invocation is held here like an own one, until an executor is lent to it."""
-        e, known = self.fleet.ranks.get(rank), id in self.invs or len(self.invs) >= self.most
+        e, known = self.fleet.ranks.get(rank), id in self.invs or len(self.invs) >= self.bounds.most
         if self.tells and e and op < len(self.ops) and not known:
             tenant = self.shares.tenants[tenant] if tenant < len(self.shares.tenants) else None
             left, slots = min(left, self.ops[op].timeout), min(max(slots, 1), 64)      # whatever a node says
@@ -393,7 +390,7 @@
 
     def clock(self, f, began):
         f.began, e, best = began, f.tgt, self.cutoffs.best
-        if best and e.tier < len(best) and f.inv.op.effect == IDEMPOTENT and self.cancels and not f.far:
+        if best and e.tier < len(best) and f.inv.op.effect == IDEMPOTENT and self.means.cancels and not f.far:
             self.count += 1
             heappush(self.cuts, (began + int(best[e.tier] / e.speed), self.count, f))
 
@@ -412,7 +409,7 @@
             return
         inv, e, fleet, self.count = f.inv, f.tgt, self.fleet, self.count + 1
         f.end(outcome in UNRUN)
-        if free is not None and not self.starts and f.lender is None:
+        if free is not None and not self.means.starts and f.lender is None:
             # Credit is then the most slots seen free at once; more while some are though the book is full.
             slots = max(fleet.slots.get(e.kind, 1.0), round(free))
             slots += 0.05 * (free - 0.3) if self.held and e.used + inv.slots >= int(slots) else 0
@@ -499,7 +496,7 @@
         # Cut only what may go again: a cut job that has to be given up has run for nothing.
         left, allowance = self.budget.left(now)
         paid = left >= max(1, allowance / 2)
-        if over or len(f.inv.forwards) >= self.forwards or not (known or trial) or not paid:
+        if over or len(f.inv.forwards) >= self.bounds.forwards or not (known or trial) or not paid:
             return False
         c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
         return True
@@ -510,7 +507,8 @@
         order = sorted((inv for inv in self.held if inv.held), key=lambda inv: (inv.over, inv.key))
         self.held = dict.fromkeys(order)
         # Own answers tell little of executors at which under a quarter of a forward of this node is out.
-        thin = self.probes and self.cutoffs.arrivals.total(now) * fleet.mean < SECOND * len(fleet.listed)
+        work = self.cutoffs.arrivals.total(now) * fleet.mean
+        thin = self.means.probes and work < SECOND * len(fleet.listed)
         for inv in order:
             if now >= inv.latest or inv.forwards and not self.again(inv, now):
                 if inv.asker is None:
@@ -540,7 +538,7 @@
                 f = Forward(inv, e, now, lender)
                 fleet.sends.add(now)
                 self.asked.pop(inv.number, None)
-                if not self.starts:      # the design's second clock: the send plus the modelled wait
+                if not self.means.starts:      # the design's second clock: the send plus the modelled wait
                     self.clock(f, now + int(e.wait))
                 if e in some and not thin and not fleet.ready(e, now):
                     some.remove(e)
@@ -586,7 +584,7 @@
 
     def leave(self, inv):
         """Crossing costs by the forward: home is waited for the longer the less there is to gain."""
-        part = self.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
+        part = self.fleet.cross * ((inv.op.mean or inv.size) / inv.size if self.by_work else 1)
         return inv.arrived + part * (inv.latest - inv.arrived)
 
     def ask(self, inv, now, some=()):
@@ -619,7 +617,7 @@
 
     def allowed(self, inv, e, now):
         """Rule 2: what may have run goes again only where a repeat is dropped, within the window."""
-        if len(inv.forwards) >= self.forwards:
+        if len(inv.forwards) >= self.bounds.forwards:
             return False
         first = next((f for f in inv.forwards if not f.unrun), None)
         if first is None or inv.op.effect == IDEMPOTENT:
@@ -654,4 +652,4 @@
         free = inv.op.effect == IDEMPOTENT or (inv.op.effect == DEDUPLICATED and inv.op.group == "all")
         free = free or all(f.unrun for f in inv.forwards)
         self.finish(inv)
-        return ("throttle", inv.id, min(self.back, SECOND // 2)) if free else ("error", inv.id)
+        return ("throttle", inv.id, min(self.bounds.back, SECOND // 2)) if free else ("error", inv.id)
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -30,6 +30,7 @@
 """
 
 from math import inf
+from typing import NamedTuple
 from zlib import crc32
 
 IDEMPOTENT, DEDUPLICATED, NON_IDEMPOTENT = "idempotent", "deduplicated", "non-idempotent"
@@ -39,6 +40,32 @@
 UNRUN = frozenset((FULL, NO_CONNECTION, MOOT))
 
 
+class Parts(NamedTuple):
+    """What a dispatcher is put together of (brain.py)."""
+
+    cutoffs: object
+    fleet: object
+    shares: object
+    budget: object
+
+
+class Means(NamedTuple):
+    """What there is to do with at a site: cancels, notes of starts, probes, and asking for the list."""
+
+    cancels: bool
+    starts: bool
+    probes: bool
+    asks: bool
+
+
+class Bounds(NamedTuple):
+    """forwards: of one invocation; back: the latest time to come back that is told; most: open at once."""
+
+    forwards: int
+    back: int
+    most: int
+
+
 class Operation:
     __slots__ = ("name", "effect", "group", "window", "objective", "stretch", "value", "late_value", "kind",
                  "mean",
--- a/grebedyke/service/configuration/terms.py
+++ b/grebedyke/service/configuration/terms.py
@@ -102,10 +102,13 @@
         rules["fallMultiple"], max(min(op.objective for op in operations.values()) // 10, 10),
         tenths(family["progressMs"]), prices["crossZone"], 1 + nodes // 64 if limits["peerMessages"] else 0)
     quotas = {row["name"]: row["quotaRps"] for row in conf["parties"]}
+    budget = brain.Budget(
+        rules["extraFloor"] or 0, rules["resendRatio"] or 0, tenths(rules["lookBackMs"] or 0))
     return brain.Dispatcher(
-        chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes),
-        brain.Budget(rules["extraFloor"] or 0, rules["resendRatio"] or 0, tenths(rules["lookBackMs"] or 0)),
-        operations, tenths(conf["tickMs"]), limits["mayCancel"], int(limits["maxForwards"]),
-        tenths(limits["maxRetryAfterMs"]) if limits["retryAfter"] else 0,
-        family["tellsStart"], conf["registryMode"] == "ask", prices["crossZone"],
-        conf["billedValueBy"] == "work", limits["probes"], int(limits["maxOpen"]))
+        chance, ledger.Parts(brain.Cutoffs(chance, nodes), fleet, brain.Shares(quotas, nodes), budget),
+        operations, tenths(conf["tickMs"]), conf["billedValueBy"] == "work",
+        ledger.Means(limits["mayCancel"], family["tellsStart"], limits["probes"],
+                     conf["registryMode"] == "ask"),
+        ledger.Bounds(int(limits["maxForwards"]),
+                      tenths(limits["maxRetryAfterMs"]) if limits["retryAfter"] else 0,
+                      int(limits["maxOpen"])))
--- a/grebedyke/service/switch.py
+++ b/grebedyke/service/switch.py
@@ -29,7 +29,7 @@
         copy(getattr(old, part), getattr(new, part))
     # What came in under an operation that is no more is still dispatched by it; the door takes no more of it.
     new.operations = {**old.operations, **new.operations}
-    copy(old, new, "budget", *PARTS)
+    copy(old, new, "parts")
     if old.budget.window != new.budget.window:
         # Rings of other spans; what was sent by the old terms is in the new window all the same.
         new.budget.recall(now, old.budget.took.buckets(), old.budget.again.buckets(), old.budget.took.span,
@@ -40,13 +40,13 @@
     old.shares.levels = {t: x for t, x in old.shares.levels.items() if t in old.shares.quotas}
     for e in fleet.all.values():
         e.full = {}      # by operation, as it was before
-    if not old.cancels:
+    if not old.means.cancels:
         old.cuts, old.cutoffs.best = [], None
     if moved:
         renumber(now, old)
     old.listed(now, False, [])
     old.alarm = 0
-    if old.asks and not old.ask_at:
+    if old.means.asks and not old.ask_at:
         old.unlisted(now)
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,7 @@
 from types import SimpleNamespace
 
 from grebedyke import brain
-from grebedyke.ledger import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Chance, Operation
+from grebedyke.ledger import DEDUPLICATED, IDEMPOTENT, NON_IDEMPOTENT, Bounds, Chance, Means, Operation, Parts
 from grebedyke.service.desk import Desk
 from grebedyke.service.log import Gauges
 from grebedyke.service.turn import Turn
@@ -18,9 +18,10 @@
     ops = {"op": Operation("op", effect, group, window, 2_500, 2.0, 1.0)}
     chance = Chance(seed)
     fleet = brain.Fleet("a", me, nodes, 0.3, 80_000, 3.0, 250, progress, cross, split)
-    return brain.Dispatcher(chance, brain.Cutoffs(chance, nodes), fleet, brain.Shares(tenants or {}, nodes),
-                            brain.Budget(*budget), ops, 50,
-                            cancels, 5, back, starts, asks, cross, True, probes, 1_000)
+    parts = Parts(brain.Cutoffs(chance, nodes), fleet, brain.Shares(tenants or {}, nodes),
+                  brain.Budget(*budget))
+    return brain.Dispatcher(chance, parts, ops, 50, True, Means(cancels, starts, probes, asks),
+                            Bounds(5, back, 1_000))
 
 
 def rows(*ids, zone="a", state=HEALTHY, born=0):
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -197,7 +197,7 @@
 
 def test_without_start_notes_work_does_not_pass_for_waiting():
     d = dispatcher()      # guards against holding all work back where nothing tells that a job has begun
-    d.starts = False
+    d.means = d.means._replace(starts=False)
     d.listed(10, True, rows(1))
     for i, now in enumerate((10, 1_000)):
         d.taken(now, i, "op", None, 50_000, 1_000, 1)
