--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -2,11 +2,15 @@
 
 from collections import deque
 
+import msgpack
+
 from grebedyke.agreement import keeping
+from grebedyke.agreement.differing import difference, patched
 from grebedyke.agreement.voter import (
     CHECKING,
     FORGOTTEN,
     FOUNDING,
+    NONE,
     OUT,
     VOTING,
     Voter,
@@ -20,6 +24,8 @@
 MEMBERS = "members"
 # Operators change them; each change is settled before the next (see `settle`).
 FIRST_EPOCH = 1
+# Longer news are told by what has changed: a plan of some hundred machines went to each node at each step.
+SHORT = 300
 
 
 def all_lives(lives):
@@ -33,6 +39,7 @@
         self.key, self.ballot, self.epoch, self.members, self.changes = key, b, epoch, members, changes
         self.until, self.promises, self.accepted = until, {}, {}
         self.value, self.results, self.phase = None, [], "p"
+        self.base = NONE, None  # what the change was made of, and its ballot
 
     def quorum(self):
         return len(self.members) // 2 + 1
@@ -118,7 +125,7 @@
         """What this member has said before is not known any more: it says so and does not vote."""
         voter = self.voter
         voter.phase, voter.registers, voter.life = FORGOTTEN, {}, (0, 0)
-        self.recovering, self.states, self.told = None, {}, {}
+        self.recovering, self.states, self.told, self.said = None, {}, {}, 0
         self.unkept.clear()
         self.next, self.why = now, why
         self.log("member", phase=FORGOTTEN, why=why)
@@ -189,14 +196,14 @@
 
     def write(self):
         self.number += 1
-        self.dirty, self.writing = False, (self.number, self.unkept)
+        self.dirty, self.writing = False, (self.number, self.unkept, self.voter.life, self.voter.seq)
         self.unkept = []
         return "keep", FILE, self.number, keeping.record(self.fleet, self.me, self.voter.kept_form())
 
     def kept(self, now, name, number, done):
         if name != FILE or self.writing is None or number != self.writing[0]:
             return
-        answers, self.writing = self.writing[1], None
+        (_, answers, its_life, seq), self.writing = self.writing, None
         if not done:
             self.failed, self.pause = self.failed + 1, now + 4 * self.wait
             if self.voter.phase == FOUNDING:
@@ -211,12 +218,13 @@
                 self.log("member", phase=self.voter.phase, why=answer[1])
             else:
                 self.send(*answer)
-        if self.voter.seq > self.said and self.voter.phase == VOTING:
-            # So that an older copy of this file shows, though no proposal that counted it came through.
-            self.said = self.voter.seq
+        if seq > self.said and self.voter.phase == VOTING and its_life == self.voter.life:
+            # So that an older copy of this file shows, though no proposal that counted it came through. Only
+            # what that record has: with a later number a kill before the next one made the newest file old.
+            self.said = seq
             for v in self.members:
                 if v != self.me:
-                    self.send(v, ["h", self.voter.life, self.said])
+                    self.send(v, ["h", its_life, seq])
 
     def answer(self, now, to, message, keep):
         if not keep:
@@ -266,7 +274,8 @@
         r.promises[by] = vote
         if r.phase != "p" or not (counted := agreeing(r.promises, r.quorum())):
             return
-        _, _, _, value = max(counted.values(), key=lambda x: x[2])
+        _, _, *r.base = max(counted.values(), key=lambda x: x[2])
+        value = r.base[1]
         for wish in r.changes:
             value, result = wish.change(value)
             r.results.append(result)
@@ -286,24 +295,21 @@
             if wish in wishes:
                 wishes.remove(wish)
         self.known(now, r.key, r.ballot, r.value)
-        for v in range(self.nodes):
-            if v != self.me:
-                self.send(
-                    v,
-                    [
-                        "l",
-                        r.key,
-                        r.ballot,
-                        r.value,
-                        self.voter.epoch,
-                        self.members,
-                        accepted if v in r.members else {},
-                    ],
-                )
+        self.spread(r, accepted)
         self.remember(now, accepted)
         for wish, result in zip(r.changes, r.results):
             wish.done(now, result)
 
+    def spread(self, r, accepted):
+        """The others hear of it: by what has changed where the whole is long."""
+        kind, told = "l", [r.value]
+        if len(msgpack.packb(r.value)) > SHORT:
+            kind, told = "d", [r.base[0], difference(r.base[1], r.value)]
+        for v in range(self.nodes):
+            if v != self.me:
+                news = [self.voter.epoch, self.members, accepted if v in r.members else {}]
+                self.send(v, [kind, r.key, r.ballot, *told, *news])
+
     def remember(self, now, accepted):
         """How far the others are: an older copy of a member's file then shows."""
         news = [self.voter.remember(v, *x) for v, x in accepted.items() if v != self.me]
@@ -429,6 +435,19 @@
         self.known(now, str(key), ballot(b), value)
         self.remember(now, {int(v): (life(x), int(seq)) for v, (x, seq) in accepted.items()})
 
+    def on_change(self, now, by, key, b, base, change, epoch, members, accepted):
+        """Only onto the very value that it was made of; who has another asks for the whole."""
+        key, b, register = str(key), ballot(b), self.voter.registers.get(str(key))
+        if key in self.learned and self.learned[key][0] == ballot(base):
+            self.on_learn(now, by, key, b, patched(self.learned[key][1], change), epoch, members, accepted)
+        elif register and register[1] == b:
+            self.on_learn(now, by, key, b, register[2], epoch, members, accepted)
+        elif key not in self.learned or self.learned[key][0] < b:
+            self.send(by, ["?", key])
+
+    def on_asked(self, now, by, key):
+        self.tell(now, by, str(key))
+
     def on_vote(self, now, by, its_life, seq):
         if by in self.members:
             self.remember(now, {by: (life(its_life), int(seq))})
@@ -473,6 +492,8 @@
         "r": on_recover,
         "R": on_state,
         "h": on_vote,
+        "d": on_change,
+        "?": on_asked,
     }
 
     def look(self, now):
