--- a/grebedyke/commands/fleet.py
+++ b/grebedyke/commands/fleet.py
@@ -140,9 +140,11 @@
 @click.option("--beside", default=2, show_default=True, type=click.IntRange(1, 16), help="Rounds at a time.")
 @click.option("--simulated", is_flag=True, help="In simulated time, without processes: thousands of rounds.")
 @click.option("--build", "broken_build", help="A build broken on purpose (simulated), which must be caught.")
+@click.option("--older", type=click.Path(file_okay=False, exists=True, resolve_path=True),
+              help="The tree of another version: each start of a node draws which of the two runs.")
 @click.option("--keep", default="found", show_default=True, type=click.Path(file_okay=False),
               help="Where a round that broke something is kept.")
-def torture(seed, rounds, processes, seconds, beside, simulated, broken_build, keep):
+def torture(seed, rounds, processes, seconds, beside, simulated, broken_build, older, keep):
     """Plays rounds of a fleet under drawn faults on this machine; exit code 3 where an invariant broke.
 
     \b
@@ -155,7 +157,7 @@
         fail(f"--build is one of these, with --simulated: {'; '.join(broken.BUILDS)}")
     start, failed, done = time.monotonic(), 0, {}
     with ProcessPoolExecutor(beside) as pool:
-        waiting = [pool.submit(one_round, s, processes, seconds, simulated, broken_build)
+        waiting = [pool.submit(one_round, s, processes, seconds, simulated, broken_build, older)
                    for s in range(seed, seed + rounds)]
         try:
             for n, ready in enumerate(as_completed(waiting), 1):
@@ -177,7 +179,7 @@
     raise SystemExit(3 if failed else 0)
 
 
-def one_round(seed, processes, seconds, simulated, broken_build):
+def one_round(seed, processes, seconds, simulated, broken_build, older):
     """(seed, what broke, what came about, logs): plain types, as it runs in a process of its own."""
     if simulated:
         from contextlib import nullcontext
@@ -187,7 +189,7 @@
             found, played = world.play(seed, nodes=processes, voters=3 if processes < 7 else 5)
         return seed, [[str(x) for x in row] for row in found], dict(played.done), {}
     from grebedyke.rig import rounds
-    played = asyncio.run(rounds.play(seed, processes=processes, seconds=seconds))
+    played = asyncio.run(rounds.play(seed, processes=processes, seconds=seconds, older=older))
     return seed, [[str(x) for x in row] for row in played.broken], dict(played.done), played.logs
 
 
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -6,6 +6,7 @@
 import shutil
 import signal
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
@@ -20,15 +21,20 @@
 
 
 class Rig(plain.Fleet):
-    """`words`: whether nodes lend each other executors as well; `parts`: what the configuration has more."""
+    """`words`: whether nodes lend each other executors as well; `older`: the tree of another version, each
+    start draws which of the two runs."""
 
-    def __init__(self, operations, nodes=5, executors=6, voters=3, seed=0, words=False, maintenance=True):
+    def __init__(self, operations, nodes=5, executors=6, voters=3, seed=0, words=False, maintenance=True,
+                 older=None):
         super().__init__(operations, nodes, executors, LAUNCH, seed=seed)
+        self.older = older
         self.voters, self.words, self.maintenance = list(range(min(voters, nodes))), words, maintenance
         # A node that starts anew needs its own address back: nothing of another round is on this one.
         self.host = f"127.{64 + os.getpid() % 128}.{seed % 250}.9"
         self.links, self.doors, self.done = None, {}, Counter()
         self.consoles, self.own, self.rates, self.stopped, self.lives = {}, {}, {}, set(), Counter()
+        # One clock for each machine: two processes of a node read the same one.
+        self.began, self.leaving = time.monotonic_ns(), []
 
     async def start(self):
         self.links = await Links(len(self.nodes), self.seed).open()
@@ -87,14 +93,17 @@
             "GREBEDYKE_RIG": json.dumps(
                 {
                     "rate": self.rates[name],
+                    "began": self.began,
                     "disk": str(self.path(name, "disk")),
                     "wall": self.links.random.choice((0, 0, 3600, -86400)),
                 }
             ),
         }
+        tree = self.older if self.older and self.links.random.random() < 0.5 else None
+        self.done["older version"] += tree is not None
         with log:
             process = await asyncio.create_subprocess_exec(
-                *self.command, env=environ, stderr=log, stdin=asyncio.subprocess.DEVNULL
+                *self.command, env=environ, stderr=log, stdin=asyncio.subprocess.DEVNULL, cwd=tree
             )
         self.processes[name], self.lives[name] = process, self.lives[name] + 1
         end = asyncio.get_running_loop().time() + plain.STARTS
@@ -147,6 +156,23 @@
         self.done[f"folder {folder}"] += 1
         await self.launch(name)
 
+    async def replace(self, name):
+        """A new process takes over from the one that serves, which is told to end."""
+        old, self.consoles[name] = self.processes[name], None
+        self.leaving.append(old)
+        await self.launch(name)
+        old.terminate()
+        await asyncio.wait_for(old.wait(), 15)
+        self.leaving.remove(old)
+        self.done["taken over"] += 1
+
+    def reload(self, name, change):
+        """The file as `change(told)` leaves it, None: no JSON at all; then SIGHUP."""
+        told = self.told(name)
+        self.path(name, "json").write_text("{" if change is None else json.dumps(change(told) or told))
+        self.processes[name].send_signal(signal.SIGHUP)
+        self.done["reloaded" if change else "reload of a faulty file"] += 1
+
     def copy(self, name):
         here, older = self.path(name, "folder"), self.path(name, "older")
         shutil.rmtree(older, ignore_errors=True)
@@ -185,6 +211,10 @@
     async def close(self):
         for name in list(self.stopped):
             self.go_on(name)
+        for process in self.leaving:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
         await super().close()
         for door in self.doors.values():
             await door.close()
--- a/grebedyke/rig/judge.py
+++ b/grebedyke/rig/judge.py
@@ -52,7 +52,7 @@
         if counts["succeeded"] < counts["taken"] / 4:
             self.fault("work goes on", f"{dict(counts)}")
 
-    def logs(self, events, most):
+    def logs(self, events, most, voters=frozenset()):
         """All nodes tell one story: one change for each number, in an allowed order, within limits."""
         story, plans = {}, {}
         for node, event in events:
@@ -81,4 +81,6 @@
             out = [name for name, s in at.items() if s in TAKEN]
             if len(out) > most:
                 self.fault("most out", f"{out} under {rev}")
+            if len(voters.intersection(out)) > 1:
+                self.fault("one voter at a time", f"{out} under {rev}")
         self.done["changes"] += len(story)
--- a/grebedyke/rig/launch.py
+++ b/grebedyke/rig/launch.py
@@ -1,7 +1,8 @@
 """Starts one node of the real program with another clock or another disk: python -m grebedyke.rig.launch.
 
-GREBEDYKE_RIG holds JSON: `rate` (of its monotonic clock), `wall` (seconds by which its wall clock is off),
-and `disk`, a file with the faults of its disk, which may change while it runs. Only the rig sets it.
+GREBEDYKE_RIG holds JSON: `rate` (of its monotonic clock, since `began`), `wall` (seconds by which its wall
+clock is off), and `disk`, a file with the faults of its disk, which may change while it runs. Only the rig
+sets it.
 """
 
 import asyncio
@@ -75,7 +76,7 @@
     if wall:
         honest = time.time_ns
         time.time_ns = lambda: honest() + int(wall * 1e9)
-    began = time.monotonic_ns()
+    began = told.get("began") or time.monotonic_ns()
     Loop.rate, Loop.began = rate, began / 1e9
     asyncio.set_event_loop_policy(
         type("Policy", (asyncio.DefaultEventLoopPolicy,), {"_loop_factory": Loop})()
--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections import Counter, defaultdict
 from typing import NamedTuple
@@ -34,9 +35,12 @@
 class Round:
     """`script`: machines go out as before there were plans, by `suspend` at every node, for comparison."""
 
-    def __init__(self, seed, processes=5, executors=6, seconds=10.0, kinds=None, pace=1.0, script=False):
+    def __init__(
+        self, seed, processes=5, executors=6, seconds=10.0, kinds=None, pace=1.0, script=False, older=None
+    ):
         self.seed, self.random = seed, random.Random(f"round {seed}")
-        self.rig = Rig(OPERATIONS, processes, executors, 3 if processes < 7 else 5, seed, words=seed % 3 == 0)
+        voters = 3 if processes < 7 else 5
+        self.rig = Rig(OPERATIONS, processes, executors, voters, seed, seed % 3 == 0, older=older)
         self.seconds, self.kinds, self.pace = seconds, list(kinds or FAULTS), pace
         self.script = script
         self.judge, self.tasks, self.in_work = Judge(), [], {}
@@ -62,7 +66,7 @@
             await self.until(lambda all_: all(s and s["sure"] and not s["plan"] for s in all_), "plans end")
             rig.fill(clients.ledger)
             judge.rules(clients.ledger, rig.nodes)
-            judge.logs(rig.events(), 2)
+            judge.logs(rig.events(), 2, {f"node:{v}" for v in rig.voters})
         except Exception as problem:  # a rig that fails is no round that was passed
             judge.fault("the rig", repr(problem))
         finally:
@@ -84,6 +88,9 @@
 
     async def by_plan(self):
         machines = [*self.rig.executors]
+        if self.seed % 2 == 0:
+            # Nodes as machines: one that votes, one that does not.
+            machines += ["node:0", f"node:{len(self.rig.nodes) - 1}"]
         given = {"machines": machines, "most": 2, "mostZone": 1, "leastShare": 0.3, "workMs": 30_000}
         self.judge.promised(await self.ask("/v1/maintenance/plan", {**given, "late": "go on"}))
         # A second operator, at another node, in the middle of it.
@@ -153,9 +160,23 @@
             await asyncio.sleep(0.05)
 
     async def work_at(self, told_by, name, number):
+        if name.startswith("node:"):
+            return await self.start_anew(int(name.removeprefix("node:")))
         await self.open_up(told_by, name, number)
         await self.ask(f"/v1/maintenance/back/{name}/{number}", None, (200, 409))
 
+    async def start_anew(self, number):
+        """Work at a node: it is ended as operators do, answers all that it owes, and comes back."""
+        name = [*self.rig.nodes][number]
+        while name in self.busy:
+            await asyncio.sleep(0.05)
+        self.busy.add(name)
+        self.judge.done["nodes worked at"] += 1
+        await self.rig.end(name, signal.SIGTERM)
+        await asyncio.sleep(0.2 + self.random.random())
+        await self.rig.launch(name)
+        self.busy.discard(name)
+
     async def open_up(self, told_by, name, number):
         executor, loop = self.rig.executors[name], asyncio.get_running_loop()
         began = loop.time()
@@ -308,8 +329,29 @@
         await self.for_a_while()
         door.turn(None)
 
+    async def takeover(self):
+        """A new process beside the old one, whose clients it takes over."""
+        if name := self.take():
+            await self.rig.replace(name)
+            self.busy.discard(name)
+
+    async def reload(self):
+        """Other settings and back, or a file that is none."""
+        if name := self.take():
+            def fewer(told):
+                told["settings"]["limits"]["maxForwards"] -= 1
+
+            self.rig.reload(name, self.random.choice((fewer, None)))
+            await self.for_a_while(0.2, 1.0)
+            self.rig.reload(name, lambda told: None)
+            self.busy.discard(name)
+
     async def heal(self):
         self.rig.links.heal()
+        for _ in range(400):
+            if not self.busy:
+                break
+            await asyncio.sleep(0.05)
         for name in self.rig.nodes:
             self.rig.go_on(name)
             if not self.rig.up(name):
@@ -329,6 +371,8 @@
     "bad disk": Round.bad_disk,
     "lying disk": Round.lying_disk,
     "bad list": Round.bad_list,
+    "takeover": Round.takeover,
+    "reload": Round.reload,
 }
 
 
--- a/grebedyke/rig/spec.py
+++ b/grebedyke/rig/spec.py
@@ -20,7 +20,8 @@
 class Spec:
     """Fed with what was seen; `broken` are (time, clause, words)."""
 
-    def __init__(self, nodes, executors):
+    def __init__(self, nodes, executors, voters=()):
+        self.voters = {f"node:{v}" for v in voters}
         self.broken, self.boards, self.promised, self.freed = [], {}, {}, set()
         self.given = {}      # when each plan was first seen
 
@@ -50,8 +51,12 @@
         failed = sum(at[name][0] == "failed" for name in taken)
         if len(taken) > plan["most"] and len(taken) - failed > plan["most"]:
             self.fault(now, "most out", f"board {board['rev']} has {len(taken)} out of {plan['most']}")
+        if len(self.voters & {name for name in taken if at[name][0] != "failed"}) > 1:
+            self.fault(now, "one voter at a time", f"board {board['rev']}: {taken}")
         for limit, i in (("most_zone", 0), ("most_kind", 1)):
-            groups = [plan["machines"][name][i] for name in taken if at[name][0] != "failed"]
+            # A node has no zone of the list's.
+            some = [name for name in taken if at[name][0] != "failed" and not name.startswith("node:")]
+            groups = [plan["machines"][name][i] for name in some]
             if plan[limit] and any(groups.count(g) > plan[limit] for g in groups):
                 self.fault(now, limit, f"board {board['rev']}: {taken}")
         for rev in (r for r in sorted(self.boards) if r < board["rev"]):
--- a/grebedyke/rig/world.py
+++ b/grebedyke/rig/world.py
@@ -197,7 +197,7 @@
         self.now, self.events, self.ties, self.processes, self.done = 0, [], 0, 0, Counter()
         self.voters = list(range(voters))
         self.executors = [Machine(f"e{i}", "ab"[i % 2]) for i in range(executors)]
-        self.spec = Spec(nodes, len(self.executors))
+        self.spec = Spec(nodes, len(self.executors), self.voters)
         self.cuts, self.loss, self.double, self.delay = set(), 0.0, 0.0, 20
         self.stalled, self.held = set(), []
         self.faults, self.faults_end, self.kinds, self.drift = faults, 0, list(kinds or FAULTS), drift
@@ -278,6 +278,8 @@
         told = host.parts[1].state(host.clock())
         self.spec.told(self.now, host.me, told)
         for row in told["machines"]:
+            if row["state"] == "free" and row["name"].startswith("node:"):
+                self.start_anew(self.hosts[int(row["name"].removeprefix("node:"))], row["number"])
             e = next((e for e in self.executors if e.name == row["name"]), None)
             if e and row["state"] == "free" and row["number"] not in self.worked:
                 e.in_work = True
@@ -286,6 +288,13 @@
                 self.done["worked at"] += 1
                 self.later(self.random.randrange(SECOND, 3 * SECOND), self.finish, e, row["number"])
 
+    def start_anew(self, host, number):
+        if host.alive and number not in self.worked:
+            self.worked.add(number)
+            self.done["nodes worked at"] += 1
+            host.end()
+            self.later(self.random.randrange(SECOND, 3 * SECOND), lambda: host.alive or host.start())
+
     def finish(self, e, number):
         e.in_work, e.worked = False, self.now
         e.turn(self.now, True)
@@ -318,6 +327,11 @@
         host.parts[1].called(host.clock(), answered, b"POST", path, body)
         host.pull()
 
+    def settled(self):
+        states = [h.parts[1].state(h.clock()) for h in self.hosts if h.alive and not h.stopped]
+        one = len(states) == self.count and len({s["rev"] for s in states}) == 1
+        return one and all(s["sure"] and not s["plan"] for s in states)
+
     # Faults.
 
     def trouble(self, until):
@@ -483,6 +497,8 @@
     w.later(1, w.operate)
     w.run(5 * SECOND)
     names = [e.name for e in w.executors]
+    if isinstance(seed, int) and seed % 2:
+        names += ["node:0", f"node:{w.count - 1}"]
     first = {
         "machines": names,
         "most": 2,
@@ -500,6 +516,8 @@
     for host in w.hosts:
         if not host.alive:
             host.start()
-    w.run(w.now + CALM)
+    end = w.now + CALM
+    while w.now < end and not w.settled():
+        w.run(w.now + SECOND)
     w.spec.ended(w.now, [h.parts[1].state(h.clock()) for h in w.hosts])
     return w.spec.broken, w
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -31,16 +31,16 @@
 
 # Where a drawn round shows it: the faults that do, and a seed.
 CAUGHT = {
-    "a vote is answered before it is kept": ({"kinds": ("slow disk", "kill", "all killed"), "faults": 4}, 0),
-    "half is taken for a majority": ({}, 3),
+    "a vote is answered before it is kept": ({"kinds": ("slow disk", "kill", "all killed"), "faults": 4}, 1),
+    "half is taken for a majority": ({}, 25),
     "a spoilt file is taken for a new member's": (
-        {"kinds": ("spoilt file", "empty folder", "kill"), "faults": 3}, 4),
-    "back is taken for warm": ({}, 1),
-    "losses without a plan are not counted": ({}, 0),
-    "a lease is given to whoever asks": ({}, 1),
-    "who is not sure uses what waits": ({}, 11),
+        {"kinds": ("spoilt file", "empty folder", "kill"), "faults": 3}, 7),
+    "back is taken for warm": ({}, 0),
+    "losses without a plan are not counted": ({}, 15),
+    "a lease is given to whoever asks": ({}, 0),
+    "who is not sure uses what waits": ({}, 52),
     "who has just begun uses all": (
-        {"kinds": ("older folder", "empty folder", "cut", "copy"), "faults": 4}, 4),
+        {"kinds": ("older folder", "empty folder", "cut", "copy"), "faults": 4}, 0),
 }
 
 
@@ -112,6 +112,42 @@
         assert fleet.nodes[1].voter.registers["k"][2] == {"v": 1}
 
 
+def test_only_what_is_on_the_disk_is_told_as_kept():
+    # A member killed between two writes was taken for an older copy of itself: it had told the later number.
+    fleet, now = founded()
+    node, others = fleet.nodes[1], []
+    node.heard(now, 0, ["p", "k", [50, 0, 9], 1, [0, 1, 2]])
+    fleet.pull(now, 1, disk=False)
+    node.heard(now, 0, ["p", "k", [51, 0, 9], 1, [0, 1, 2]])      # while the first one's write is under way
+    node.kept(now, "votes", node.number, True)
+    fleet.pull(now, 1, disk=False)
+    others = [message for by, _, message in fleet.mail if by == 1 and message[0] == "h"]
+    assert others and all(seq == node.voter.seq - 1 for _, _, seq in others)
+
+
+def test_long_news_are_told_by_what_changed_and_whoever_lacks_the_base_asks():
+    fleet, now = founded()
+    long = {"rev": 1, "plan": {str(i): "x" * 20 for i in range(50)}}
+    now, _ = agree(fleet, now, 0, long)
+    now = fleet.go(now, lambda: all(n.value("k") == long for n in fleet.nodes))
+    sent = []
+
+    def counted(by, to, message):
+        sent.append(message)
+        return True
+
+    now, _ = agree(fleet, now, 0, {**long, "rev": 2}, counted)
+    now = fleet.go(now, lambda: all(n.value("k")["rev"] == 2 for n in fleet.nodes), counted)
+    assert {m[0] for m in sent if m[0] in "ld?"} == {"d"}
+    # One that was cut off lacks what the next change was made of.
+    now, _ = agree(fleet, now, 0, {**long, "rev": 3}, lambda by, to, m: to != 2)
+    now = fleet.go(now, through=lambda by, to, m: to != 2)
+    now, _ = agree(fleet, now, 0, {**long, "rev": 4}, lambda by, to, m: (
+        counted(by, to, m) and not (to == 2 and m[0] in "pa")))
+    now = fleet.go(now, lambda: fleet.nodes[2].value("k")["rev"] == 4, counted)
+    assert fleet.nodes[2].value("k") == {**long, "rev": 4} and any(m[0] == "?" for m in sent)
+
+
 def test_a_file_that_is_spoilt_older_or_another_nodes():
     fleet, now = founded()
     old = dict(fleet.disks[2])
