--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -403,7 +403,8 @@
             take = self.TAKE.get(kind)
             if take is None:
                 return False
-            take(self, now, by, *rest)
+            # What a later build says beyond is left alone.
+            take(self, now, by, *rest[: take.__code__.co_argcount - 3])
         except (TypeError, ValueError, KeyError, IndexError, AttributeError):
             self.odd += 1  # another build's, or made up
         return True
@@ -468,7 +469,7 @@
         if by in self.members:
             self.answer(now, by, *self.voter.recover(by, life(its_life)))
 
-    def on_state(self, now, by, mine, its_life, lives, epoch, members, registers):
+    def on_state(self, now, by, mine, its_life, lives, epoch, members, registers, seq=0, seqs=None):
         if self.recovering != life(mine) or self.voter.phase != FORGOTTEN or by not in self.members:
             return
         self.states[by] = (
@@ -477,6 +478,8 @@
             int(epoch),
             [int(v) for v in members],
             {str(k): (ballot(p), ballot(a), v) for k, (p, a, v) in registers.items()},
+            int(seq),
+            {int(v): int(n) for v, n in (seqs or {}).items()},
         )
         self.weigh(now)
 
--- a/grebedyke/agreement/voter.py
+++ b/grebedyke/agreement/voter.py
@@ -149,7 +149,8 @@
         if self.phase != VOTING or newer(known, its_life):
             return ["W", self.phase, self.life, known, self.seqs.get(by, 0), self.epoch, self.members], False
         self.remember(by, its_life)
-        return ["R", its_life, self.life, self.lives, self.epoch, self.members, self.registers], True
+        known = [self.lives, self.epoch, self.members, self.registers, self.seq, self.seqs]
+        return ["R", its_life, self.life, *known], True
 
     def merge(self, states):
         """Out of what a majority of the others told: at least what this member had promised and accepted.
@@ -157,11 +158,12 @@
         Source of the argument: docs/agreement.md.
         """
         self.registers = {}
-        for its_life, lives, epoch, members, registers, by in states:
-            self.remember(by, its_life)
+        for its_life, lives, epoch, members, registers, seq, seqs, by in states:
+            # How far they are too: an older copy of one of them must not show to nobody for this one's loss.
+            self.remember(by, its_life, seq)
             for v, x in lives.items():
                 if v != self.me:
-                    self.remember(v, x)
+                    self.remember(v, x, seqs.get(v, 0))
             self.adopt(epoch, members)
             for key, (promised, accepted, value) in registers.items():
                 mine = self.registers.setdefault(key, [NONE, NONE, None])
--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -24,12 +24,12 @@
         return s.getsockname()[1]
 
 
-def settings(operations, nodes, me, zone):
+def settings(operations, nodes, me, zone, zones=ZONES):
     """A deployment as the platform would tell it: two operations or more, no messages between nodes."""
     rows = [{"name": op.name, "idempotency": op.effect, "latencyObjectiveMs": 250, "group": "zone",
              "windowMs": op.window * 1000, "clientTimeoutMs": op.timeout * 1000, "billedValue": 1.0}
             for op in operations]
-    return {"balancers": nodes, "me": me, "tickMs": 5, "zone": zone, "zones": [*ZONES],
+    return {"balancers": nodes, "me": me, "tickMs": 5, "zone": zone, "zones": [*zones],
             "machineTypes": [*KINDS], "operations": rows, "billedValueBy": "work",
             "limits": {"maxForwards": 4, "connIdleMs": 5000, "connectTimeoutMs": 250, "mayCancel": True,
                        "probes": True, "retryAfter": True, "maxRetryAfterMs": 2000},
@@ -44,10 +44,10 @@
     """Discovery, executors and nodes of one run; `node`: the command that starts one."""
 
     def __init__(self, operations, nodes=3, executors=6, command=(sys.executable, "-m", "grebedyke"),
-                 faults=None,
-                 seed=0, slots=4, cold=0.3):
+                 faults=None, seed=0, slots=4, cold=0.3, zones=ZONES):
         self.operations, self.command, self.faults, self.seed = operations, command, faults or {}, seed
         self.count, self.slots, self.cold, self.host = executors, slots, cold, "127.0.0.1"
+        self.zones = zones
         self.folder = tempfile.TemporaryDirectory(prefix="grebedyke-")
         # Ports are drawn when a node starts: drawn before, those of executors' listeners could take them.
         self.nodes = dict.fromkeys((f"n{i}" for i in range(nodes)), None)
@@ -57,8 +57,8 @@
         self.discovery = await Discovery().listen()
         known = {}
         for i in range(self.count):
-            name, zone = f"s-{i}", ZONES[i % len(ZONES)]
-            kind = [*KINDS][i // len(ZONES) % len(KINDS)]
+            name, zone = f"s-{i}", self.zones[i % len(self.zones)]
+            kind = [*KINDS][i // len(self.zones) % len(KINDS)]
             # Already warm, as a fleet is that has run for a while; a restart is cold.
             worker = Worker(self.slots, KINDS[kind], cold=self.cold, ramp=2.0, born=-10.0)
             # The executors of a zone drop each other's repeats.
@@ -85,7 +85,8 @@
         path.write_text(json.dumps({
             "name": name, "listen": "%s:%d" % self.nodes[name], "discovery": "%s:%d" % self.discovery.address,
             "seed": f"{self.seed}-{name}", "known": self.discovery.listing(),
-            "settings": settings(self.operations, len(self.nodes), me, ZONES[me % len(ZONES)])}))
+            "settings": settings(self.operations, len(self.nodes), me, self.zones[me % len(self.zones)],
+                                 self.zones)}))
         log = open(Path(self.folder.name, f"{name}.log"), "ab")
         environ = {k: v for k, v in os.environ.items() if not k.startswith("BALANCER_")}
         environ |= {"BALANCER_CONFIG": str(path), "BALANCER_COUNTS": "1", "TMPDIR": self.folder.name}
--- a/grebedyke/rig/broken.py
+++ b/grebedyke/rig/broken.py
@@ -52,7 +52,18 @@
     return votes if len(votes) >= quorum else None
 
 
-honest = {"granted": Maintenance.granted, "recalled": Agreement.recalled, "by_word": board.by_word}
+def not_how_far(self, by, its_life):
+    """Only which life each of the others is in."""
+    answer, keep = honest["recover"](self, by, its_life)
+    return ([*answer[:7], 0, {}] if answer[0] == "R" else answer), keep
+
+
+honest = {
+    "recover": voter.Voter.recover,
+    "granted": Maintenance.granted,
+    "recalled": Agreement.recalled,
+    "by_word": board.by_word,
+}
 
 BUILDS = {
     "a vote is answered before it is kept": [(Agreement, "answer", answer_at_once)],
@@ -66,6 +77,7 @@
     "a lease is given to whoever asks": [(Maintenance, "asked", any_board)],
     "who is not sure uses what waits": [(board, "UNSURE", board.OUT)],
     "votes of past lives count": [(part, "agreeing", no_quorum_of_lives)],
+    "who is let in again does not hear how far the others are": [(voter.Voter, "recover", not_how_far)],
     "who has just begun uses all": [(maintenance_part.Maintenance, "apply", None)],
 }
 
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -25,8 +25,8 @@
     start draws which of the two runs."""
 
     def __init__(self, operations, nodes=5, executors=6, voters=3, seed=0, words=False, maintenance=True,
-                 older=None):
-        super().__init__(operations, nodes, executors, LAUNCH, seed=seed)
+                 older=None, zones=plain.ZONES):
+        super().__init__(operations, nodes, executors, LAUNCH, seed=seed, zones=zones)
         self.older = older
         self.voters, self.words, self.maintenance = list(range(min(voters, nodes))), words, maintenance
         # A node that starts anew needs its own address back: nothing of another round is on this one.
@@ -55,8 +55,8 @@
         i = self.number(name)
         self.consoles[name] = self.consoles.get(name) or (self.host, plain.free_port(self.host))
         self.own[name] = self.own.get(name) or (self.host, plain.free_port(self.host))
-        zone = plain.ZONES[i % len(plain.ZONES)]
-        settings = plain.settings(self.operations, len(self.nodes), i, zone)
+        zone = self.zones[i % len(self.zones)]
+        settings = plain.settings(self.operations, len(self.nodes), i, zone, self.zones)
         settings["limits"]["peerMessages"] = self.words
         settings["rules"] |= {"drainGraceMs": GRACE * 1000, "rampTimeMs": RAMP * 1000}
         for row in settings["operations"]:
--- a/grebedyke/rig/world.py
+++ b/grebedyke/rig/world.py
@@ -280,6 +280,9 @@
         for row in told["machines"]:
             if row["state"] == "free" and row["name"].startswith("node:"):
                 self.start_anew(self.hosts[int(row["name"].removeprefix("node:"))], row["number"])
+            if row["state"] == "failed" and row["number"] not in self.worked:
+                # Their word came too late: said again, with the number that it has now.
+                self.say_back(row["name"], row["number"])
             e = next((e for e in self.executors if e.name == row["name"]), None)
             if e and row["state"] == "free" and row["number"] not in self.worked:
                 e.in_work = True
@@ -295,6 +298,12 @@
             host.end()
             self.later(self.random.randrange(SECOND, 3 * SECOND), lambda: host.alive or host.start())
 
+    def say_back(self, name, number):
+        e = next((e for e in self.executors if e.name == name), None)
+        if e and e.up and not e.in_work:
+            self.worked.add(number)
+            self.call(b"/v1/maintenance/back/%s/%d" % (name.encode(), number))
+
     def finish(self, e, number):
         e.in_work, e.worked = False, self.now
         e.turn(self.now, True)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -125,6 +125,27 @@
     assert others and all(seq == node.voter.seq - 1 for _, _, seq in others)
 
 
+def test_who_is_let_in_again_knows_how_far_the_others_are():
+    # Simulated round 100304: a member that had forgotten let another vote by an older copy of its file, as
+    # it had been told the others' lives and not how far they were; both together had forgotten.
+    def older_copy_votes():
+        fleet, now = founded()
+        old = dict(fleet.disks[1])
+        now, _ = agree(fleet, now, 0, {"v": 1})
+        now = fleet.go(now, lambda: all(n.voter.seqs.get(1) == fleet.nodes[1].voter.seq
+                                        for n in (fleet.nodes[0], fleet.nodes[2])))
+        fleet.disks[0], fleet.nodes[0] = {}, None
+        fleet.nodes[0] = fleet.begin(0)
+        now = fleet.go(now, lambda: fleet.nodes[0].voter.phase == VOTING)
+        fleet.disks[1] = old
+        fleet.nodes[1] = fleet.begin(1)
+        fleet.go(now, lambda: fleet.nodes[1].voter.phase != CHECKING, nodes=(0, 1))
+        return fleet.nodes[1].voter.phase == VOTING
+    assert not older_copy_votes()
+    with broken.build("who is let in again does not hear how far the others are"):
+        assert older_copy_votes()
+
+
 def test_long_news_are_told_by_what_changed_and_whoever_lacks_the_base_asks():
     fleet, now = founded()
     long = {"rev": 1, "plan": {str(i): "x" * 20 for i in range(50)}}
