--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -130,8 +130,9 @@
     # it had been told the others' lives and not how far they were; both together had forgotten.
     def older_copy_votes():
         fleet, now = founded()
-        old = dict(fleet.disks[1])
         now, _ = agree(fleet, now, 0, {"v": 1})
+        old = dict(fleet.disks[1])
+        now, _ = agree(fleet, now, 0, {"v": 2})
         now = fleet.go(now, lambda: all(n.voter.seqs.get(1) == fleet.nodes[1].voter.seq
                                         for n in (fleet.nodes[0], fleet.nodes[2])))
         fleet.disks[0], fleet.nodes[0] = {}, None
