--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -272,7 +272,8 @@
 
     def promised(self, now, r, by, *vote):
         r.promises[by] = vote
-        if r.phase != "p" or not (counted := agreeing(r.promises, r.quorum())):
+        # Too late: this process may have been stopped since, and what its change rests on is old by now.
+        if r.phase != "p" or now >= r.until or not (counted := agreeing(r.promises, r.quorum())):
             return
         _, _, *r.base = max(counted.values(), key=lambda x: x[2])
         value = r.base[1]
