Limits that hold for the whole fleet: shares on lease from one holder

Need: a tenant with 30 a second had 85 a second through three nodes, as each reckons its own part only. Rates with a burst and invocations under way, by tenant, operation or both, hard or soft; floors that are each node's own. Decisions in grebedyke/shares/ without I/O; the module asks them where it asks its own shares. Simulated rounds with eleven broken builds, drawn rounds of real processes under limits, off in run.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -246,7 +246,7 @@
     """A bucket a tenant, filled by this part of its quota, emptied by what comes: the surplus is over."""
 
     def __init__(self, quotas, nodes):
-        self.quotas, self.nodes, self.levels, self.tenants = quotas, nodes, {}, [*quotas]
+        self.quotas, self.nodes, self.levels, self.tenants, self.limits = quotas, nodes, {}, [*quotas], None
 
     def over(self, now, tenant, parts=None):
         if tenant not in self.quotas:
@@ -338,6 +338,8 @@
             fixed = op.effect != IDEMPOTENT or not (self.means.cancels and self.means.starts)
             self.cutoffs.loose += 0.05 * (fixed - self.cutoffs.loose)
             self.hold(inv)
+            if self.shares.limits and (back := self.shares.limits.take(now, inv)):
+                inv.latest, inv.back = now, back      # over one of the whole fleet's: answered at once
         return inv
 
     def hold(self, inv):
@@ -447,6 +449,8 @@
             self.words.append(("tell", inv.lent[1], "end", inv.number, MOOT, None))
         if not inv.out:
             self.invs.pop(inv.id, None)
+            if self.shares.limits:
+                self.shares.limits.give(inv)
 
     def decide(self, now):
         self.flow = self.flow or self.work(now)
@@ -650,6 +654,6 @@
     def give_up(self, inv, now):
         """Final at once. A throttling reply says that trying again is harmless (rule 2), an error nothing."""
         free = inv.op.effect == IDEMPOTENT or (inv.op.effect == DEDUPLICATED and inv.op.group == "all")
-        free = free or all(f.unrun for f in inv.forwards)
+        free, again = free or all(f.unrun for f in inv.forwards), inv.back or SECOND // 2
         self.finish(inv)
-        return ("throttle", inv.id, min(self.bounds.back, SECOND // 2)) if free else ("error", inv.id)
+        return ("throttle", inv.id, min(self.bounds.back, again)) if free else ("error", inv.id)
--- a/grebedyke/commands/fleet.py
+++ b/grebedyke/commands/fleet.py
@@ -132,6 +132,23 @@
 change("remove", "Node NUMBER votes no more.")
 
 
+@click.command("limits")
+@node
+def limits_command(nodes):
+    """The fleet's limits as a node knows them: its share, its floor, what went through and was denied."""
+    said = json.loads(told(nodes, "GET", "/v1/limits"))
+    holder = "no holder yet" if said["holder"] is None else f"holder node {said['holder']}"
+    asked = said["asked_ms_ago"]
+    age = "never answered" if asked is None else f"share asked for {asked} ms ago"
+    files = "  files differ: the least counts" if said["files_differ"] else ""
+    click.echo(f"{holder}, term {said['term']}; {age}, ends after {said['share_ends_ms']} ms{files}")
+    for row in said["limits"]:
+        on = " ".join(x for x in (row["tenant"], row["operation"]) if x) or "all"
+        used = f"under way {row['under_way']}" if row["kind"] == "under way" else f"burst {row['burst']}"
+        click.echo(f"{row['name']:20} {on:20} {row['limit']:g} {row['kind']}  here {row['floor']:g} + "
+                   f"{row['share']:g}  {used}  passed {row['passed']}  denied {row['denied']}")
+
+
 @click.command()
 @click.option("--seed", default=1, show_default=True, help="Of the first round; the others follow.")
 @click.option("--rounds", default=10, show_default=True, type=click.IntRange(1, 100_000))
@@ -139,12 +156,13 @@
 @click.option("--seconds", default=8.0, show_default=True, type=click.FloatRange(1, 600), help="Of faults.")
 @click.option("--beside", default=2, show_default=True, type=click.IntRange(1, 16), help="Rounds at a time.")
 @click.option("--simulated", is_flag=True, help="In simulated time, without processes: thousands of rounds.")
+@click.option("--limits", is_flag=True, help="Simulated rounds of the fleet's limits, not of a plan.")
 @click.option("--build", "broken_build", help="A build broken on purpose (simulated), which must be caught.")
 @click.option("--older", type=click.Path(file_okay=False, exists=True, resolve_path=True),
               help="The tree of another version: each start of a node draws which of the two runs.")
 @click.option("--keep", default="found", show_default=True, type=click.Path(file_okay=False),
               help="Where a round that broke something is kept.")
-def torture(seed, rounds, processes, seconds, beside, simulated, broken_build, older, keep):
+def torture(seed, rounds, processes, seconds, beside, simulated, limits, broken_build, older, keep):
     """Plays rounds of a fleet under drawn faults on this machine; exit code 3 where an invariant broke.
 
     \b
@@ -153,11 +171,14 @@
       grebedyke torture --simulated --rounds 2000 --beside 8
     """
     from grebedyke.rig import broken
-    if broken_build and (broken_build not in broken.BUILDS or not simulated):
-        fail(f"--build is one of these, with --simulated: {'; '.join(broken.BUILDS)}")
+    builds = broken.LIMITS if limits else broken.BUILDS
+    if limits and not simulated:
+        fail("--limits goes with --simulated")
+    if broken_build and (broken_build not in builds or not simulated):
+        fail(f"--build is one of these, with --simulated: {'; '.join(builds)}")
     start, failed, done = time.monotonic(), 0, {}
     with ProcessPoolExecutor(beside) as pool:
-        waiting = [pool.submit(one_round, s, processes, seconds, simulated, broken_build, older)
+        waiting = [pool.submit(one_round, s, processes, seconds, simulated, limits, broken_build, older)
                    for s in range(seed, seed + rounds)]
         try:
             for n, ready in enumerate(as_completed(waiting), 1):
@@ -179,14 +200,15 @@
     raise SystemExit(3 if failed else 0)
 
 
-def one_round(seed, processes, seconds, simulated, broken_build, older):
+def one_round(seed, processes, seconds, simulated, limits, broken_build, older):
     """(seed, what broke, what came about, logs): plain types, as it runs in a process of its own."""
     if simulated:
         from contextlib import nullcontext
 
-        from grebedyke.rig import broken, world
+        from grebedyke.rig import broken, limited, world
         with broken.build(broken_build) if broken_build else nullcontext():
-            found, played = world.play(seed, nodes=processes, voters=3 if processes < 7 else 5)
+            voters = 3 if processes < 7 else 5
+            found, played = (limited if limits else world).play(seed, nodes=processes, voters=voters)
         return seed, [[str(x) for x in row] for row in found], dict(played.done), {}
     from grebedyke.rig import rounds
     played = asyncio.run(rounds.play(seed, processes=processes, seconds=seconds, older=older))
--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -319,7 +319,8 @@
         fail(f"cannot listen: {problem.strerror}", 1)
 
 
-for command in (fleet_commands.maintenance, fleet_commands.members, fleet_commands.torture):
+for command in (fleet_commands.maintenance, fleet_commands.members, fleet_commands.limits_command,
+                fleet_commands.torture):
     cli.add_command(command)
 
 
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -105,7 +105,7 @@
                  "tier",
                  "done", "held", "key", "hint",
                  "rounds", "ask_at", "asked", "abroad",
-                 "asker", "number", "tried", "asking", "group", "lent", "tenant")
+                 "asker", "number", "tried", "asking", "group", "lent", "tenant", "back")
 
     def __init__(self, id, op, arrived, due, size, hint, slots, over, tenant=None, asker=None):
         self.id, self.op, self.arrived, self.due = id, op, arrived, due
@@ -118,7 +118,7 @@
         # it.
         self.asker, self.tenant = asker, tenant
         self.number = self.asking = self.group = self.lent = None
-        self.tried = ()
+        self.tried, self.back = (), 0      # back: when to come back, where a limit says so
 
     def ask_anew(self, number):
         self.number, self.tried, self.ask_at = number, set(), 0
--- a/grebedyke/rig/broken.py
+++ b/grebedyke/rig/broken.py
@@ -9,6 +9,8 @@
 from grebedyke.agreement.part import Agreement, Round
 from grebedyke.maintenance import board, part as maintenance_part
 from grebedyke.maintenance.part import Maintenance
+from grebedyke.shares import books, limits, meters
+from grebedyke.shares.part import Sharing
 
 
 def answer_at_once(self, now, to, message, keep):
@@ -96,12 +98,88 @@
 BUILDS["who has just begun uses all"] = [(Maintenance, "apply", begins_seeing)]
 
 
+# Limits.
+
+
+def granted_from_the_answer(self, now, by, number, term, other, given):
+    if number in self.asks:
+        self.asks[number] = now
+    honest_limits["granted"](self, now, by, number, term, other, given)
+
+
+def added(self, now, share, until):
+    self.share, self.until = self.share + share, until
+
+
+def added_to_a_bucket(self, now, share, until):
+    self.advance(now)
+    added(self, now, share, until)
+
+
+def the_last_only(self):
+    self.held = max([amount for _, amount, _ in [*self.grants][-1:]] + [self.used])
+    return self.held
+
+
+def nothing_runs_on(self, kind, total, floor, often, ends, hold):
+    honest_limits["books"](self, kind, total, floor, often, ends, 0)
+
+
+def as_it_was(self, *args):
+    """A limit that has shrunk is not withdrawn."""
+
+
+def from_the_first_moment(self, now):
+    return self.used < self.limit.floor + self.held(now)
+
+
+def full_at_first(self, limit, nodes, drift, hold, lease, now):
+    honest_limits["bucket"](self, limit, nodes, drift, hold, lease, now)
+    self.level = limit.burst / nodes
+
+
+honest_limits = {
+    "granted": Sharing.granted,
+    "books": books.Books.__init__,
+    "bucket": meters.Bucket.__init__,
+}
+
+LIMITS = {
+    "a share is reckoned from the answer": [(Sharing, "granted", granted_from_the_answer)],
+    "no drift in shares": [
+        (Sharing, "ends", lambda self: int(self.lease * (1 - 2 * self.drift))),
+        (Sharing, "wait", lambda self, kind=None: int(2 * self.lease * (1 - 2 * self.drift))),
+    ],
+    "floors are not counted": [
+        (limits, "pool", lambda size, floor, nodes: size),
+        (meters, "pool", lambda size, floor, nodes: size),
+    ],
+    "a new holder does not wait": [(Sharing, "wait", lambda self, kind=None: 0)],
+    "a holder whose place has ended grants on": [(Sharing, "sure", lambda self, now: self.holds())],
+    "a grant that comes again is added": [
+        (meters.Meter, "given", added),
+        (meters.Bucket, "given", added_to_a_bucket),
+    ],
+    "a shrunk limit is not withdrawn": [
+        (Sharing, "lay_books", lambda self, now, anew=False: anew and honest_limits["lay"](self, now, anew)),
+        (meters.Meter, "retune", lambda self, limit, now: hasattr(self, "limit")
+         or honest_limits["retune"](self, limit, now)),
+    ],
+    "the newest grant is taken as received": [(books.Entry, "reckon", the_last_only)],
+    "what a dead node sent is taken as ended": [(books.Books, "__init__", nothing_runs_on)],
+    "a node's own slots are used from its first moment": [(meters.Slots, "room", from_the_first_moment)],
+    "a bucket begins full": [(meters.Bucket, "__init__", full_at_first)],
+}
+honest_limits |= {"lay": Sharing.lay_books, "retune": meters.Meter.retune}
+
+
 @contextmanager
 def build(name):
     """Within it that build is the one that runs."""
-    before = [(where, attribute, getattr(where, attribute)) for where, attribute, _ in BUILDS[name]]
+    changes = (BUILDS | LIMITS)[name]
+    before = [(where, attribute, getattr(where, attribute)) for where, attribute, _ in changes]
     try:
-        for where, attribute, instead in BUILDS[name]:
+        for where, attribute, instead in changes:
             setattr(where, attribute, instead)
         yield
     finally:
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -22,12 +22,12 @@
 
 class Rig(plain.Fleet):
     """`words`: whether nodes lend each other executors as well; `older`: the tree of another version, each
-    start draws which of the two runs."""
+    start draws which of the two runs; `shares`: the limits of the whole fleet, as in a configuration."""
 
     def __init__(self, operations, nodes=5, executors=6, voters=3, seed=0, words=False, maintenance=True,
-                 older=None, zones=plain.ZONES):
+                 older=None, zones=plain.ZONES, shares=None):
         super().__init__(operations, nodes, executors, LAUNCH, seed=seed, zones=zones)
-        self.older = older
+        self.older, self.shares = older, shares
         self.voters, self.words, self.maintenance = list(range(min(voters, nodes))), words, maintenance
         # A node that starts anew needs its own address back: nothing of another round is on this one.
         self.host = f"127.{64 + os.getpid() % 128}.{seed % 250}.9"
@@ -79,6 +79,8 @@
                 "waitMs": WAIT * 1000,
             }
             told["maintenance"] = {"leaseMs": LEASE * 1000, "drift": DRIFT}
+        if self.shares:
+            told["shares"] = {"leaseMs": LEASE * 1000, "drift": DRIFT, "limits": self.shares}
         return told
 
     async def launch(self, name):
--- a/grebedyke/rig/judge.py
+++ b/grebedyke/rig/judge.py
@@ -52,6 +52,31 @@
         if counts["succeeded"] < counts["taken"] / 4:
             self.fault("work goes on", f"{dict(counts)}")
 
+    def limits(self, ledger, shares, late):
+        """By what reached the executors: in any window W at most limit * (W + late) + burst invocations, and
+        never more under way. `late`: from a node's yes until the executor has it, in seconds."""
+        for limit in shares:
+            mine = {
+                id: entry for id, entry in ledger.entries.items()
+                if limit.get("operation") in (None, entry.operation.name) and ledger.forwards[id]
+            }
+            came = sorted((min(at for at, _ in ledger.forwards[id]), id) for id in mine)
+            self.done[f"limit {limit['name']}"] += len(came)
+            if "rate" in limit:
+                level = room = limit["burst"] + limit["rate"] * late
+                before = came[0][0] if came else 0
+                for at, id in came:
+                    level, before = min(level + limit["rate"] * (at - before), room) - 1, at
+                    if level < 0:
+                        return self.fault("over the rate", f"{limit['name']} by {-level:.1f} at {id}")
+                continue
+            ends = [(max(at for at, _ in ledger.runs[id]), -1) for _, id in came if ledger.runs[id]]
+            under_way = 0
+            for at, change in sorted([(at, 1) for at, id in came if ledger.runs[id]] + ends):
+                under_way += change
+                if under_way > limit["underWay"]:
+                    return self.fault("too many under way", f"{limit['name']}: {under_way} at {at:.3f}")
+
     def logs(self, events, most, voters=frozenset()):
         """All nodes tell one story: one change for each number, in an allowed order, within limits."""
         story, plans = {}, {}
--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -19,6 +19,8 @@
 )
 # From the end of the last fault: by then the plan has ended, at any machine's pace.
 CALM = 60.0
+# From a node's yes to an invocation until an executor has it: while it waits for a free one, at most.
+LATE = 0.5
 RATE = 30.0
 
 
@@ -40,7 +42,14 @@
     ):
         self.seed, self.random = seed, random.Random(f"round {seed}")
         voters = 3 if processes < 7 else 5
-        self.rig = Rig(OPERATIONS, processes, executors, voters, seed, seed % 3 == 0, older=older)
+        # Some rounds go on under limits of the whole fleet, of which more is asked for than they let through.
+        self.shares = [
+            {"name": "all", "rate": RATE * 2 / 3, "burst": max(20, processes), "floor": 0.4},
+            {"name": "confirms", "underWay": 3, "operation": "confirm"},
+        ] if seed % 4 == 1 else None
+        self.rig = Rig(
+            OPERATIONS, processes, executors, voters, seed, seed % 3 == 0, older=older, shares=self.shares
+        )
         self.seconds, self.kinds, self.pace = seconds, list(kinds or FAULTS), pace
         self.script = script
         self.judge, self.tasks, self.in_work = Judge(), [], {}
@@ -66,6 +75,7 @@
             await self.until(lambda all_: all(s and s["sure"] and not s["plan"] for s in all_), "plans end")
             rig.fill(clients.ledger)
             judge.rules(clients.ledger, rig.nodes)
+            judge.limits(clients.ledger, self.shares or (), LATE)
             judge.logs(rig.events(), 2, {f"node:{v}" for v in rig.voters})
         except Exception as problem:  # a rig that fails is no round that was passed
             judge.fault("the rig", repr(problem))
--- a/grebedyke/service/configuration/reading.py
+++ b/grebedyke/service/configuration/reading.py
@@ -35,6 +35,7 @@
     # Parts of the fleet, each off without its section (see `sections`).
     Optional("fleet", default=None): Any(None, dict),
     Optional("maintenance", default=None): Any(None, dict),
+    Optional("shares", default=None): Any(None, dict),
     Required("settings"): dict})
 
 
@@ -115,7 +116,8 @@
     """The parts' own sections, by key. Imported where one is configured: what is off costs nothing."""
     from grebedyke.agreement import section as agreement
     from grebedyke.maintenance import section as maintenance
-    return {"fleet": agreement, "maintenance": maintenance}
+    from grebedyke.shares import section as shares
+    return {"fleet": agreement, "maintenance": maintenance, "shares": shares}
 
 
 def all_keys():
@@ -149,7 +151,7 @@
             raise Unusable(f"setting peers has {len(said['peers'])} of {conf['balancers']} nodes")
         if len({*said["peers"]}) < len(said["peers"]):
             raise Unusable("setting peers names an address twice")
-    if said["fleet"] is not None or said["maintenance"] is not None:
+    if any(said[name] is not None for name in ("fleet", "maintenance", "shares")):
         parts(said)
     return said
 
@@ -163,3 +165,8 @@
         known["fleet"].check(said["fleet"], len(said["peers"]))
     if said["maintenance"] is not None:
         known["maintenance"].check(said["maintenance"], said["fleet"])
+    if said["shares"] is not None:
+        conf, fleet = said["settings"], said["fleet"]
+        known["shares"].check(
+            said["shares"], fleet, int(conf["balancers"]), [row["name"] for row in conf["operations"]],
+            [row["name"] for row in conf["parties"]], fleet and fleet["waitMs"])
--- a/grebedyke/service/configuration/schema.py
+++ b/grebedyke/service/configuration/schema.py
@@ -11,6 +11,7 @@
 
 from grebedyke.agreement import section as agreement
 from grebedyke.maintenance import section as maintenance
+from grebedyke.shares import section as shares
 
 # What each key is for, by the last words of its path.
 WHY = {
@@ -153,7 +154,7 @@
 def why(path):
     """What a key is for: by the longest end of its path that the table above has."""
     parts = path.split(".")
-    known = WHY | agreement.WHY | maintenance.WHY
+    known = WHY | agreement.WHY | maintenance.WHY | shares.WHY
     return next((known[end] for i in range(len(parts)) if (end := ".".join(parts[i:])) in known), None)
 
 
--- a/grebedyke/service/fleet.py
+++ b/grebedyke/service/fleet.py
@@ -10,7 +10,7 @@
 from grebedyke.service.parts import LARGEST_CALL, Parts
 
 
-def parts_of(said, process):
+def parts_of(said, process, now):
     """The parts in the order in which they are asked. `process`: a number that no other process has."""
     conf, fleet = said["settings"], said["fleet"]
     me, nodes = int(conf["me"]), len(said["peers"])
@@ -45,9 +45,51 @@
                 None if section["aloneMs"] is None else tenths(section["aloneMs"]),
             )
         )
+    if said["shares"] is not None:
+        from grebedyke.shares import section
+        from grebedyke.shares.part import Sharing
+
+        shares = said["shares"]
+        longest = max(tenths(row["clientTimeoutMs"]) for row in conf["operations"])
+        parts.append(
+            Sharing(
+                agreement,
+                me,
+                nodes,
+                process,
+                section.limits(shares),
+                tenths(shares["leaseMs"]),
+                shares["drift"],
+                section.hold(shares, longest),
+                now,
+            )
+        )
     return parts
 
 
+def limited(node, parts):
+    """The part that keeps the fleet's limits stands where the module asks for them; SIGHUP changes them."""
+    sharing = next((part for part in parts if hasattr(part, "gate")), None)
+    if sharing is None:
+        return
+    from grebedyke.shares import section
+
+    node.desk.dispatcher.shares.limits, renew, differs = sharing.gate, node.renew, node.differs
+
+    def renewed(said):
+        rest = renew(said)
+
+        def in_force(now):
+            rest(now)
+            if said["shares"] is not None:
+                sharing.retune(now, section.limits(said["shares"]))
+
+        return in_force
+
+    node.renew = renewed
+    node.differs = lambda said: differs(said) or said["shares"] != node.said["shares"]
+
+
 def join(node, files=None):
     """Hangs the parts into a node that has been put together and has not begun."""
     desk, turn, peers, console = node.desk, node.turn, node.peers, node.console
@@ -62,7 +104,7 @@
         turn,
         files or Files(node.said["fleet"]["folder"]),
         node.said["fleet"]["name"],
-        parts_of(node.said, process),
+        parts_of(node.said, process, turn.clock()),
         peers.send,
         by_hand,
         busy,
@@ -87,4 +129,5 @@
     peers.heard, peers.largest = heard, frames.LARGEST
     desk.also_listed = parts.listed
     console.by_hand, console.others, console.largest = parts.operator, parts.called, LARGEST_CALL
+    limited(node, parts.parts)
     node.also = parts
--- /dev/null
+++ b/grebedyke/shares/part.py
@@ -0,0 +1,334 @@
+"""Limits of the whole fleet as a part: each node's asks for shares, and the one holder that grants them.
+
+Why the sum of all shares and floors never exceeds a limit, and the bounds: docs/limits.md.
+"""
+
+from collections import deque
+
+from grebedyke.agreement.voter import VOTING
+from grebedyke.shares import limits as terms
+from grebedyke.shares.books import Books
+from grebedyke.shares.limits import OPEN, THOUSANDTHS, whole_bound
+from grebedyke.shares.meters import Gate
+
+HOLDER = "holder"
+
+
+def term_of(value):
+    return value["term"] if value else 0
+
+
+class Sharing:
+    """Times in tenths of a millisecond. `lease`: of a share, and of the holder's own place; `drift`: by how
+    much two clocks' rates may differ; `hold`: how long what was let through may run on after its node's
+    death; `now`: when this process began."""
+
+    paths = (b"/v1/limits",)
+    files = ()
+    bans = False
+
+    def __init__(self, agreement, me, nodes, process, limits, lease, drift, hold, now):
+        self.agreement, self.me, self.nodes, self.process = agreement, me, nodes, process
+        self.lease, self.drift, self.hold, self.limits = lease, drift, hold, list(limits)
+        agreement.keys.append(HOLDER)
+        agreement.followers.append(self.learned)
+        self.out, self.alarm, self.next, self.begun, self.odd = deque(), None, 0, None, 0
+        # From the first moment on, by its floors: without it all would go through.
+        self.gate = Gate(self.limits, nodes, drift, hold, lease, now)
+        # This node's asks: when each was sent; the newest answered, and when that was asked.
+        self.asks, self.number, self.have, self.answered, self.term = {}, 0, 0, None, 0
+        self.other, self.hurried = False, 0  # whether the holder has other limits
+        # As a voter: when a holder that is sure of its place was heard of last.
+        self.heard_at, self.proposing = 0, False
+        # As the holder.
+        self.until, self.lease_asks, self.lease_next, self.open_at = 0, {}, 0, 0
+        self.books, self.sizes = {}, {}
+        self.watching = ()
+
+    # Bounds.
+
+    def ends(self):
+        """By then, by the holder's clock, a share that was granted now is in force at no node."""
+        return whole_bound(self.lease, self.drift)
+
+    def wait(self, kind=None):
+        """A new holder grants nothing for so long: the old one's place has ended, then its last shares, then
+        what went through by them."""
+        more = whole_bound(self.hold, self.drift) if kind == OPEN else 0
+        return whole_bound(2 * self.lease, self.drift) + more
+
+    # The start.
+
+    def recalled(self, now, records):
+        self.begun = self.next = self.heard_at = now
+
+    def retune(self, now, limits):
+        """Limits of a changed configuration; what is out already binds until its lease ends."""
+        self.limits = list(limits)
+        self.gate.retune(limits, now)
+        self.lay_books(now)
+        self.next = now
+
+    # The holder's place.
+
+    @property
+    def value(self):
+        return self.agreement.value(HOLDER)
+
+    def holds(self):
+        return bool(self.value) and self.value["process"] == self.process
+
+    def sure(self, now):
+        """No later holder can have been agreed on, but by a majority that has refused this one since."""
+        return self.holds() and now < self.until
+
+    def learned(self, now, key, value):
+        if key != HOLDER or not value:
+            return
+        self.heard_at, self.next = now, min(self.next, now)
+        if value["process"] != self.process:
+            self.until, self.books = 0, {}
+        elif not self.books:
+            self.lease_asks, self.lease_next, self.until = {}, now, 0
+            self.open_at, self.sizes = now, {}
+            self.lay_books(now, True)
+            self.log("holder", term=value["term"], grants_in_ms=self.wait() // 10)
+
+    def lay_books(self, now, anew=False):
+        if not (anew or self.books):
+            return
+        before, self.books = self.books, {}
+        for limit in self.limits:
+            old = before.get(limit.id())
+            total = self.total(limit)
+            if old and old.kind == limit.kind:
+                old.total, old.floor, old.laid = total, limit.floor, None
+                self.books[limit.id()] = old
+            else:
+                self.books[limit.id()] = Books(
+                    limit.kind, total, limit.floor, self.lease // 8, self.ends(),
+                    whole_bound(self.hold, self.drift),
+                )
+
+    def total(self, limit):
+        """What there is to grant: by the least that any node's file says."""
+        told = [sizes[limit.id()] for sizes in self.sizes.values() if limit.id() in sizes]
+        size = min([limit.size, *(size for size, _ in told)])
+        floor = max([limit.floor, *(floor for _, floor in told)])
+        return terms.pool(size, floor, self.nodes)
+
+    def elect(self, now):
+        """Whoever votes and has heard of no holder for long puts itself there; the first one first."""
+        if not self.agreement.votes() or self.proposing or self.holds():
+            return
+        turn = self.agreement.members.index(self.me)
+        if now < self.heard_at + (self.lease * (2 + turn) if self.value else self.lease * (turn + 1) // 4):
+            return
+        known, self.proposing = term_of(self.value), True
+        mine = {"term": known + 1, "node": self.me, "process": self.process}
+
+        def done(now, result):
+            self.proposing, self.heard_at = False, now
+
+        # Where another one has come first, that one stays.
+        self.agreement.change(
+            now,
+            HOLDER,
+            lambda value: (mine, True) if term_of(value) == known else (value, False),
+            done,
+            2 * self.lease,
+        )
+
+    def keep_place(self, now):
+        if not self.holds() or now < self.lease_next:
+            return
+        self.lease_next = now + self.lease // 4
+        self.number += 1
+        epoch = self.agreement.voter.epoch
+        self.lease_asks[self.number] = now, epoch, set()
+        self.lease_asks = {n: ask for n, ask in self.lease_asks.items() if now < ask[0] + self.lease}
+        # A holder that can send but hears no majority must not keep others from its place.
+        sure = self.sure(now) or now < self.open_at + self.lease
+        for v in self.agreement.members:
+            self.send(v, ["t", self.number, term_of(self.value), sure, epoch])
+
+    def place_asked(self, now, by, number, term, sure, epoch):
+        """By a voter: yes, as long as it has not accepted a later holder."""
+        voter = self.agreement.voter
+        if voter.phase != VOTING or self.me not in voter.members:
+            return
+        register = voter.registers.get(HOLDER)
+        newest = term_of(register[2]) if register else 0
+        if newest > term or epoch < voter.epoch:
+            self.agreement.tell(now, by, HOLDER)
+        elif sure:
+            self.heard_at = now
+        yes = newest <= term and epoch == voter.epoch
+        self.send(by, ["T", number, yes, voter.epoch, voter.members])
+
+    def place_granted(self, now, by, number, yes, epoch, members):
+        self.agreement.adopt(now, int(epoch), [int(v) for v in members])
+        voter = self.agreement.voter
+        sent, its_epoch, by_whom = self.lease_asks.get(number, (0, None, set()))
+        if not yes or its_epoch != epoch or epoch != voter.epoch or not self.holds():
+            return
+        by_whom.add(by)
+        if len(by_whom & {*voter.members}) >= voter.quorum():
+            self.until = max(self.until, sent + self.lease)
+
+    # Shares.
+
+    def ask(self, now):
+        if now < self.next:
+            return
+        self.next = now + self.lease // 3
+        self.number += 1
+        self.asks = {n: sent for n, sent in self.asks.items() if now < sent + self.lease}
+        self.asks[self.number] = now
+        wants = [
+            [id, want, meter.used] for id, meter in self.gate.meters.items()
+            if (want := meter.want(now)) or meter.used or meter.share
+        ]
+        sizes = [[limit.id(), limit.size, limit.floor] for limit in self.limits] if self.other else []
+        to = self.whom(now)
+        if to is not None:
+            have = self.have if self.term == term_of(self.value) else 0
+            own = terms.mark(self.limits)
+            self.send(to, ["s", self.number, term_of(self.value), self.process, have, own, wants, sizes])
+
+    def whom(self, now):
+        """The holder; where nothing comes of it, a voter in turn, who may know of another."""
+        heard = max(self.answered or 0, self.begun)
+        if self.value and (now < heard + 2 * self.lease or self.number % 2):
+            return self.value["node"]
+        members = self.agreement.members
+        return members[self.number // 2 % len(members)] if members else None
+
+    def asked(self, now, by, number, term, process, have, mark, wants, sizes):
+        if term < term_of(self.value):
+            self.agreement.tell(now, by, HOLDER)
+        if not self.sure(now) or term != term_of(self.value):
+            return
+        key = int(by), int(process)
+        told = {int(id): (int(size), int(floor)) for id, size, floor in sizes}
+        if told != self.sizes.get(by, {}):
+            self.sizes = {**self.sizes, by: told}
+            self.lay_books(now)
+        given, wanted = [], {int(id): (int(want), int(used)) for id, want, used in wants}
+        for id, books in self.books.items():
+            if now >= self.open_at + self.wait(books.kind) and (id in wanted or key in books.entries):
+                books.hear(now, key, int(have), *wanted.get(id, (0, 0)))
+                if amount := books.grant(now, key, int(number)):
+                    given.append([id, amount])
+        self.send(by, ["S", number, term, mark != terms.mark(self.limits), given])
+
+    def granted(self, now, by, number, term, other, given):
+        """Reckoned from when it was asked for, as the word may have been under way for any time."""
+        sent = self.asks.get(number)
+        if sent is None or not self.current(term) or number <= self.have and term == self.term:
+            return
+        self.have, self.term, self.answered, self.other = number, term, now, bool(other)
+        until, amounts = sent + self.lease, {int(id): int(amount) for id, amount in given}
+        for id, meter in self.gate.meters.items():
+            meter.given(now, amounts.get(id, 0), until)
+
+    def current(self, term):
+        """Grants of a former holder have run out before the next one's begin; none is taken after."""
+        return term == term_of(self.value)
+
+    def heard(self, now, by, message):
+        kind, *rest = message
+        take = {"s": self.asked, "S": self.granted, "t": self.place_asked, "T": self.place_granted}.get(kind)
+        if take is None:
+            return False
+        try:
+            take(now, by, *rest)
+        except (TypeError, ValueError, KeyError, IndexError, AttributeError):
+            self.odd += 1  # another build's, or made up
+        return True
+
+    # What this part needs nothing of.
+
+    def kept(self, now, name, number, done):
+        """It keeps nothing: what was granted is waited out."""
+
+    def listed(self, now, whole, rows):
+        """Limits know no executors."""
+
+    def busy(self, now, names):
+        """Nor their forwards."""
+
+    def look(self, now):
+        """The gate looks at the time itself."""
+
+    # Operators.
+
+    def called(self, now, call, method, path, body):
+        if method == b"GET" and path.rstrip(b"/") == self.paths[0]:
+            self.out.append(("answer", call, 200, self.state(now)))
+        else:
+            self.out.append(("answer", call, 404, "no such call"))
+
+    def state(self, now):
+        value, rows = self.value, []
+        for limit in self.limits:
+            meter, unit = self.gate.meters[limit.id()], 1 if limit.kind == OPEN else THOUSANDTHS
+            rows.append(
+                {
+                    "name": limit.name,
+                    "kind": "under way" if limit.kind == OPEN else "a second",
+                    "tenant": limit.tenant,
+                    "operation": limit.operation,
+                    "soft": limit.soft,
+                    "limit": limit.size / unit,
+                    "burst": limit.burst,
+                    "floor": limit.floor / unit,
+                    "share": meter.held(now) / unit,
+                    "under_way": meter.used,
+                    "passed": meter.passed,
+                    "denied": meter.denied,
+                }
+            )
+        return {
+            "limits": rows,
+            "holder": value and value["node"],
+            "term": term_of(value),
+            "holds": self.sure(now) and now >= self.open_at + self.wait(),
+            "asked_ms_ago": None if self.answered is None else (now - self.asks.get(self.have, now)) // 10,
+            # A node that has been cut off goes on by its floor after that.
+            "share_ends_ms": self.lease // 10,
+            "next_holder_waits_ms": self.wait() // 10,
+            "files_differ": self.other,
+        }
+
+    # What goes out.
+
+    def send(self, to, message):
+        self.out.append(("send", to, message))
+
+    def log(self, event, **fields):
+        self.out.append(("log", event, fields))
+
+    def decide(self, now):
+        if self.begun is None:
+            return None
+        if not self.out:
+            if self.gate.hungry and now >= self.hurried + self.lease // 8:
+                # Who has none and is asked for some does not wait for its next turn to ask.
+                self.hurried, self.next = now, now
+            self.gate.hungry = False
+            self.elect(now)
+            self.keep_place(now)
+            self.ask(now)
+        while self.out:
+            decision = self.out.popleft()
+            if decision[0] == "send" and decision[1] == self.me:
+                self.heard(now, self.me, decision[2])
+                continue
+            return decision
+        times = [self.next, self.lease_next] if self.holds() else [self.next]
+        at = max(min(times), now + 10)
+        if self.alarm is not None and now < self.alarm <= at:
+            return None
+        self.alarm = at
+        return "wake", at
