--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -6,6 +6,7 @@
 
 from grebedyke.agreement import keeping
 from grebedyke.agreement.differing import difference, patched
+from grebedyke.agreement.seam import Part
 from grebedyke.agreement.voter import (
     CHECKING,
     FORGOTTEN,
@@ -52,7 +53,7 @@
         self.change, self.done, self.until = change, done, until
 
 
-class Agreement:
+class Agreement(Part):
     """`process`: a number that no other process has; `founders`: the voters of the first start, by node.
 
     `wait`: for an answer, in tenths of a millisecond; tries that fail are repeated later each time.
@@ -63,22 +64,16 @@
     bans = False
 
     def __init__(self, chance, fleet, me, nodes, founders, process, wait):
-        self.chance, self.fleet, self.me, self.nodes, self.process, self.wait = (
-            chance,
-            fleet,
-            me,
-            nodes,
-            process,
-            wait,
-        )
+        super().__init__(me)
+        self.chance, self.fleet, self.nodes, self.process, self.wait = chance, fleet, nodes, process, wait
         self.voter = Voter(me, process)
         self.voter.members, self.voter.epoch = list(founders), 0
         self.founders, self.keys = list(founders), [MEMBERS]
-        self.out, self.answers, self.unkept, self.writing = deque(), {}, [], None
+        self.unkept, self.writing = [], None
         self.dirty, self.number, self.failed = False, 0, 0
         self.wishes, self.rounds, self.retry, self.counter = {}, {}, {}, 0
         self.learned, self.followers = {}, []  # key -> (ballot, value); who is told of each news
-        self.told, self.states, self.next, self.alarm, self.recovering = {}, {}, 0, None, None
+        self.told, self.states, self.next, self.recovering = {}, {}, 0, None
         self.settling, self.why, self.odd, self.pause = False, "", 0, 0
         self.watching, self.said = (), 0
 
@@ -512,26 +507,19 @@
     def called(self, now, call, method, path, body):
         words = path.decode("latin-1").strip("/").split("/")[2:]
         if not words and method == b"GET":
-            return self.out.append(("answer", call, 200, self.state()))
+            return self.answer_call(call, 200, self.state())
         if len(words) == 2 and words[0] in ("add", "remove") and words[1].isdigit() and method == b"POST":
             node = int(words[1])
             if node >= self.nodes:
-                return self.out.append(("answer", call, 404, f"there is no node {node}"))
+                return self.answer_call(call, 404, f"there is no node {node}")
 
             def done(now, result):
                 status = 503 if result is None else 409 if result.startswith("refused") else 200
-                self.out.append(
-                    (
-                        "answer",
-                        call,
-                        status,
-                        result
-                        or "no majority answers; it may come about all the same, asking again is harmless",
-                    )
-                )
+                doubt = "no majority answers; it may come about all the same, asking again is harmless"
+                self.answer_call(call, status, result or doubt)
 
             return self.member(now, node, words[0] == "add", done)
-        self.out.append(("answer", call, 404, "no such call"))
+        self.answer_call(call, 404, "no such call")
 
     def state(self):
         voter = self.voter
@@ -547,28 +535,18 @@
 
     # What goes out.
 
-    def send(self, to, message):
-        self.out.append(("send", to, message))
-
-    def log(self, event, **fields):
-        self.out.append(("log", event, fields))
-
     def decide(self, now):
         if not self.out:
             self.come_back(now)
             self.settle(now)
             self.propose(now)
-        while self.out:
-            decision = self.out.popleft()
-            if decision[0] == "send" and decision[1] == self.me:
-                self.heard(now, self.me, decision[2])  # its own vote is a vote like the others'
-                continue
+        if (decision := self.pull(now)) is not None:
             return decision
         if self.dirty and self.writing is None and now >= self.pause:
             return self.write()
-        return self.wake(now)
+        return self.wake(now, self.next_time(now))
 
-    def wake(self, now):
+    def next_time(self, now):
         times = [r.until for r in self.rounds.values()]
         times += [
             self.retry.get(key, (now, 0))[0] for key, w in self.wishes.items() if key not in self.rounds and w
@@ -577,8 +555,4 @@
             times.append(self.next)
         if self.dirty and self.writing is None:
             times.append(self.pause)
-        at = max(min(times), now + 10) if times else None
-        if at is None or self.alarm is not None and now < self.alarm <= at:
-            return None
-        self.alarm = at
-        return "wake", at
+        return min(times) if times else None
--- a/grebedyke/maintenance/part.py
+++ b/grebedyke/maintenance/part.py
@@ -3,9 +3,8 @@
 Why no forward reaches a machine that is told free, and by how much that may be late: docs/maintenance.md.
 """
 
-from collections import deque
-
 from grebedyke.agreement import keeping
+from grebedyke.agreement.seam import Part
 from grebedyke.agreement.voter import VOTING
 from grebedyke.checks import Unusable
 from grebedyke.maintenance import board as boards
@@ -24,7 +23,7 @@
         self.sent, self.rev, self.epoch, self.by = sent, rev, epoch, set()
 
 
-class Maintenance:
+class Maintenance(Part):
     """Times in tenths of a millisecond. `lease`: a node's view of the board is sure for so long; `drift`: by
     how much two clocks' rates may differ at most; `grace`: how long a node waits for its forwards at a
     machine that leaves; `ramp`: until an executor is warm; `window`, `groups`: for how long and among whom
@@ -39,12 +38,13 @@
     def __init__(
         self, agreement, fleet, me, nodes, process, lease, drift, grace, ramp, window, groups, alone
     ):
-        self.agreement, self.fleet, self.me, self.nodes, self.process = agreement, fleet, me, nodes, process
+        super().__init__(me)
+        self.agreement, self.fleet, self.nodes, self.process = agreement, fleet, nodes, process
         self.lease, self.drift, self.grace, self.ramp = lease, drift, grace, ramp
         self.window, self.groups, self.alone = window, tuple(groups), alone
         agreement.keys.append(BOARD)
         agreement.followers.append(self.learned)
-        self.out, self.asks, self.number, self.next, self.alarm = deque(), {}, 0, 0, None
+        self.asks, self.number, self.next = {}, 0, 0
         # This node's view: the newest board known, the newest on its disk, and until when it is sure of it.
         self.board, self.kept_rev, self.writing, self.unwritten, self.until = None, -1, None, False, None
         self.paused, self.begun, self.trusted, self.shown = 0, None, False, None
@@ -328,37 +328,34 @@
     def called(self, now, call, method, path, body):
         words = path.decode("latin-1").strip("/").split("/")[2:]
         if not words and method == b"GET":
-            return self.out.append(("answer", call, 200, self.state(now)))
+            return self.answer_call(call, 200, self.state(now))
         if method != b"POST" or len(words) not in (1, 3):
-            return self.answer(call, 404, "no such call")
+            return self.answer_call(call, 404, "no such call")
         if words == ["plan"]:
             try:
                 plan = plans.read(body, self.healthy(), self.nodes, self.agreement.members)
             except Unusable as problem:
-                return self.answer(call, 400, str(problem))
+                return self.answer_call(call, 400, str(problem))
             return self.wish(now, call, lambda board: boards.give(board, plan))
         if len(words) == 1 and words[0] in ("pause", "go", "abort"):
             return self.wish(now, call, lambda board: boards.word(board, words[0]))
         if len(words) == 3 and words[0] == "back" and words[2].isdigit():
             return self.wish(now, call, lambda board: boards.by_word(board, words[1], int(words[2])))
-        self.answer(call, 404, "no such call")
+        self.answer_call(call, 404, "no such call")
 
     def wish(self, now, call, change):
         def done(now, result):
             if result is None:
-                return self.answer(
+                return self.answer_call(
                     call,
                     503,
                     "no majority of the voters answers; it may come about all the "
                     "same, asking again is harmless",
                 )
-            self.answer(call, 409 if result.startswith("refused") else 200, result)
+            self.answer_call(call, 409 if result.startswith("refused") else 200, result)
 
         self.agreement.change(now, BOARD, change, done)
 
-    def answer(self, call, status, text):
-        self.out.append(("answer", call, status, text))
-
     def state(self, now):
         """As this node knows it; `sure`: it was the newest so many milliseconds ago."""
         board = self.board or boards.empty()
@@ -398,12 +395,6 @@
 
     # What goes out.
 
-    def send(self, to, message):
-        self.out.append(("send", to, message))
-
-    def log(self, event, **fields):
-        self.out.append(("log", event, fields))
-
     def look(self, now):
         """What has changed by time alone."""
         if self.until is not None and now >= self.until and self.shown and self.log_lost(now):
@@ -431,11 +422,7 @@
             self.look(now)
             self.ask(now)
             self.drive(now)
-        while self.out:
-            decision = self.out.popleft()
-            if decision[0] == "send" and decision[1] == self.me:
-                self.heard(now, self.me, decision[2])
-                continue
+        if (decision := self.pull(now)) is not None:
             return decision
         if self.unwritten and not self.writing and now >= self.paused:
             return self.keep()
@@ -444,8 +431,4 @@
             at = min(at, self.until)
         if self.board and self.board["plan"] and self.agreement.votes():
             at = min(at, now + self.lease // 20)
-        at = max(at, now + 10)
-        if self.alarm is not None and now < self.alarm <= at:
-            return None
-        self.alarm = at
-        return "wake", at
+        return self.wake(now, at)
--- a/grebedyke/shares/part.py
+++ b/grebedyke/shares/part.py
@@ -3,8 +3,7 @@
 Why the sum of all shares and floors never exceeds a limit, and the bounds: docs/limits.md.
 """
 
-from collections import deque
-
+from grebedyke.agreement.seam import Part
 from grebedyke.agreement.voter import VOTING
 from grebedyke.shares import limits as terms
 from grebedyke.shares.books import Books
@@ -18,7 +17,7 @@
     return value["term"] if value else 0
 
 
-class Sharing:
+class Sharing(Part):
     """Times in tenths of a millisecond. `lease`: of a share, and of the holder's own place; `drift`: by how
     much two clocks' rates may differ; `hold`: how long what was let through may run on after its node's
     death; `now`: when this process began."""
@@ -28,11 +27,12 @@
     bans = False
 
     def __init__(self, agreement, me, nodes, process, limits, lease, drift, hold, now):
-        self.agreement, self.me, self.nodes, self.process = agreement, me, nodes, process
+        super().__init__(me)
+        self.agreement, self.nodes, self.process = agreement, nodes, process
         self.lease, self.drift, self.hold, self.limits = lease, drift, hold, list(limits)
         agreement.keys.append(HOLDER)
         agreement.followers.append(self.learned)
-        self.out, self.alarm, self.next, self.begun, self.odd = deque(), None, 0, None, 0
+        self.next, self.begun, self.odd = 0, None, 0
         # From the first moment on, by its floors: without it all would go through.
         self.gate = Gate(self.limits, nodes, drift, hold, lease, now)
         # This node's asks: when each was sent; the newest answered, and when that was asked.
@@ -265,9 +265,9 @@
 
     def called(self, now, call, method, path, body):
         if method == b"GET" and path.rstrip(b"/") == self.paths[0]:
-            self.out.append(("answer", call, 200, self.state(now)))
+            self.answer_call(call, 200, self.state(now))
         else:
-            self.out.append(("answer", call, 404, "no such call"))
+            self.answer_call(call, 404, "no such call")
 
     def state(self, now):
         value, rows = self.value, []
@@ -303,12 +303,6 @@
 
     # What goes out.
 
-    def send(self, to, message):
-        self.out.append(("send", to, message))
-
-    def log(self, event, **fields):
-        self.out.append(("log", event, fields))
-
     def decide(self, now):
         if self.begun is None:
             return None
@@ -320,15 +314,6 @@
             self.elect(now)
             self.keep_place(now)
             self.ask(now)
-        while self.out:
-            decision = self.out.popleft()
-            if decision[0] == "send" and decision[1] == self.me:
-                self.heard(now, self.me, decision[2])
-                continue
+        if (decision := self.pull(now)) is not None:
             return decision
-        times = [self.next, self.lease_next] if self.holds() else [self.next]
-        at = max(min(times), now + 10)
-        if self.alarm is not None and now < self.alarm <= at:
-            return None
-        self.alarm = at
-        return "wake", at
+        return self.wake(now, min(self.next, self.lease_next) if self.holds() else self.next)
