--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -27,6 +27,7 @@
 FIRST_EPOCH = 1
 # Longer news are told by what has changed: a plan of some hundred machines went to each node at each step.
 SHORT = 300
+MOST_PATIENCE = 3
 
 
 def all_lives(lives):
@@ -70,7 +71,9 @@
         self.voter.members, self.voter.epoch = list(founders), 0
         self.founders, self.keys = list(founders), [MEMBERS]
         self.unkept, self.writing = [], None
-        self.dirty, self.number, self.failed = False, 0, 0
+        self.dirty, self.number, self.failed, self.news_at = False, 0, 0, None
+        # How often the time for a round is doubled: learnt where disks or links take longer than `wait`.
+        self.patience = 0
         self.wishes, self.rounds, self.retry, self.counter = {}, {}, {}, 0
         self.learned, self.followers = {}, []  # key -> (ballot, value); who is told of each news
         self.told, self.states, self.next, self.recovering = {}, {}, 0, None
@@ -191,6 +194,7 @@
 
     def write(self):
         self.number += 1
+        self.news_at = None
         self.dirty, self.writing = False, (self.number, self.unkept, self.voter.life, self.voter.seq)
         self.unkept = []
         return "keep", FILE, self.number, keeping.record(self.fleet, self.me, self.voter.kept_form())
@@ -241,6 +245,8 @@
                 wishes.popleft().done(now, None)
             r = self.rounds.get(key)
             if r and now >= r.until:
+                # With the same time again it would never come about where disks are slower than that.
+                self.patience = min(self.patience + 1, MOST_PATIENCE)
                 self.fail(now, r)
             if wishes and key not in self.rounds and now >= self.retry.get(key, (0, 0))[0]:
                 self.begin(now, key, wishes)
@@ -253,7 +259,8 @@
         b = self.counter, self.me, self.process
         changes = list(wishes)
         r = self.rounds[key] = Round(
-            key, b, max(self.voter.epoch, FIRST_EPOCH), list(self.members), changes, now + self.wait
+            key, b, max(self.voter.epoch, FIRST_EPOCH), list(self.members), changes,
+            now + (self.wait << self.patience),
         )
         for v in r.members:
             self.send(v, ["p", key, b, r.epoch, r.members])
@@ -286,6 +293,8 @@
         accepted = {v: (its_life, seq) for v, (its_life, _, seq) in counted.items()}
         del self.rounds[r.key]
         self.retry[r.key] = now, 0
+        if now < r.until - (self.wait << self.patience) * 3 // 4:
+            self.patience = max(self.patience - 1, 0)
         wishes = self.wishes[r.key]
         for wish in r.changes:
             if wish in wishes:
@@ -309,8 +318,9 @@
     def remember(self, now, accepted):
         """How far the others are: an older copy of a member's file then shows."""
         news = [self.voter.remember(v, *x) for v, x in accepted.items() if v != self.me]
-        if any(news) and self.voter.phase == VOTING:
-            self.keep(now)
+        if any(news) and self.voter.phase == VOTING and self.news_at is None:
+            # Together with what comes meanwhile: a write for each word would hold up the votes behind it.
+            self.news_at = now + self.wait
 
     def known(self, now, key, b, value):
         if key in self.learned and b <= self.learned[key][0]:
@@ -542,7 +552,8 @@
             self.propose(now)
         if (decision := self.pull(now)) is not None:
             return decision
-        if self.dirty and self.writing is None and now >= self.pause:
+        due = self.dirty or self.news_at is not None and now >= self.news_at
+        if due and self.writing is None and now >= self.pause:
             return self.write()
         return self.wake(now, self.next_time(now))
 
@@ -553,6 +564,6 @@
         ]
         if self.voter.phase not in (VOTING, OUT):
             times.append(self.next)
-        if self.dirty and self.writing is None:
-            times.append(self.pause)
+        if self.writing is None and (self.dirty or self.news_at is not None):
+            times.append(max(self.pause, 0 if self.dirty else self.news_at))
         return min(times) if times else None
--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -499,7 +499,8 @@
         trial = c.trials < 4 and waits and not f.tgt.cut
         # Cut only what may go again: a cut job that has to be given up has run for nothing.
         left, allowance = self.budget.left(now)
-        paid = left >= max(1, allowance / 2)
+        paid, limits = left >= max(1, allowance / 2), self.shares.limits
+        paid = paid and (not limits or limits.further(now, f.inv))
         if over or len(f.inv.forwards) >= self.bounds.forwards or not (known or trial) or not paid:
             return False
         c.trials, f.tgt.cut = c.trials + (not known), now if waits else f.tgt.cut
@@ -539,6 +540,8 @@
             if e:
                 if inv.forwards and inv.asker is None:
                     self.budget.again.add(now)
+                    if self.shares.limits:
+                        self.shares.limits.again(now, inv)
                 f = Forward(inv, e, now, lender)
                 fleet.sends.add(now)
                 self.asked.pop(inv.number, None)
@@ -616,7 +619,8 @@
 
     def again(self, inv, now):
         """Whether a further forward may still come of it; the budget is this node's, not its keeper's."""
-        return (inv.asker is not None or self.budget.left(now)[0] >= 1) and any(
+        fleets = not self.shares.limits or self.shares.limits.further(now, inv)
+        return (inv.asker is not None or self.budget.left(now)[0] >= 1 and fleets) and any(
             self.allowed(inv, e, now) for e in self.fleet.listed)
 
     def allowed(self, inv, e, now):
--- a/grebedyke/commands/fleet.py
+++ b/grebedyke/commands/fleet.py
@@ -143,7 +143,7 @@
     files = "  files differ: the least counts" if said["files_differ"] else ""
     click.echo(f"{holder}, term {said['term']}; {age}, ends after {said['share_ends_ms']} ms{files}")
     for row in said["limits"]:
-        on = " ".join(x for x in (row["tenant"], row["operation"]) if x) or "all"
+        on = " ".join(x for x in (row["tenant"], row["operation"], row["further"] and "again") if x) or "all"
         used = f"under way {row['under_way']}" if row["kind"] == "under way" else f"burst {row['burst']}"
         click.echo(f"{row['name']:20} {on:20} {row['limit']:g} {row['kind']}  here {row['floor']:g} + "
                    f"{row['share']:g}  {used}  passed {row['passed']}  denied {row['denied']}")
--- a/grebedyke/shares/limits.py
+++ b/grebedyke/shares/limits.py
@@ -13,7 +13,8 @@
 class Limit(NamedTuple):
     """`size`: of the whole fleet, `floor`: of it, each node's own, both in amounts; `burst`: whole
     invocations, one of them each node's own; `tenant`, `operation`: None where the limit is on all; `soft`:
-    what is over comes behind the rest, and is not turned away.
+    what is over comes behind the rest, and is not turned away; `further`: it is on forwards beyond each
+    invocation's first, not on invocations.
     """
 
     name: str
@@ -24,6 +25,7 @@
     tenant: str | None
     operation: str | None
     soft: bool
+    further: bool = False
 
     def id(self):
         """Stands for the name in messages."""
--- a/grebedyke/shares/meters.py
+++ b/grebedyke/shares/meters.py
@@ -158,22 +158,24 @@
                     limit, self.nodes, self.drift, self.hold, self.lease, now
                 )
 
-    def on(self, operation, tenant):
-        """The meters of all limits that are on such an invocation."""
-        key = operation, tenant
+    def on(self, inv, further=False):
+        """The meters of all limits that are on such an invocation, or on its further forwards."""
+        key = operation, tenant, _ = inv.op.name, inv.tenant, further
         if key not in self.known:
             if len(self.known) > 4_096:
                 self.known.clear()  # tenants are what clients say
             self.known[key] = [
                 m
                 for m in self.meters.values()
-                if m.limit.operation in (None, operation) and m.limit.tenant in (None, tenant)
+                if m.limit.operation in (None, operation)
+                and m.limit.tenant in (None, tenant)
+                and m.limit.further == further
             ]
         return self.known[key]
 
     def take(self, now, inv):
         """0: it may go, and is counted; else how long to wait before the next try. Soft limits mark it."""
-        meters, short = self.on(inv.op.name, inv.tenant), []
+        meters, short = self.on(inv), []
         for meter in meters:
             meter.tries.add(now)
             if not meter.room(now):
@@ -190,6 +192,23 @@
             self.open[inv] = slots
         return 0
 
+    def further(self, now, inv):
+        """Whether a further forward of it may go now; another node's invocation is that node's affair."""
+        if inv.asker is not None:
+            return True
+        short = [meter for meter in self.on(inv, True) if not meter.room(now)]
+        for meter in short:
+            meter.tries.add(now)
+            meter.denied += 1
+        self.hungry = self.hungry or bool(short)
+        return not short
+
+    def again(self, now, inv):
+        """One went."""
+        for meter in self.on(inv, True):
+            meter.tries.add(now)
+            meter.take(now)
+
     def give(self, inv):
         """Once nothing of it is under way, not when its client leaves."""
         for meter in self.open.pop(inv, ()):
--- a/grebedyke/shares/part.py
+++ b/grebedyke/shares/part.py
@@ -280,6 +280,7 @@
                     "tenant": limit.tenant,
                     "operation": limit.operation,
                     "soft": limit.soft,
+                    "further": limit.further,
                     "limit": limit.size / unit,
                     "burst": limit.burst,
                     "floor": limit.floor / unit,
--- a/grebedyke/shares/section.py
+++ b/grebedyke/shares/section.py
@@ -22,6 +22,7 @@
                     Optional("tenant", default=None): Any(None, str),
                     Optional("operation", default=None): Any(None, str),
                     Optional("soft", default=False): bool,
+                    Optional("further", default=False): bool,
                 }
             )
         ],
@@ -39,6 +40,7 @@
     "limits[].floor": "of the limit, each node's own whatever it reaches",
     "limits[].tenant": "of that tenant; all without it",
     "limits[].operation": "of that operation; all without it",
+    "limits[].further": "on forwards beyond each invocation's first, not on invocations",
     "limits[].soft": "what is over comes behind the rest, and is not turned away",
 }
 
@@ -66,6 +68,9 @@
             refuse("burst", f"is under one for each of {nodes} nodes: {row['burst']}")
         if row["underWay"] is not None and row["burst"] is not None:
             refuse("burst", "is nothing to a limit on what is under way")
+        for key, why in (("underWay", "are counted by the second"), ("soft", "have no soft limit")):
+            if row["further"] and row[key]:
+                refuse(key, f"is nothing here: further forwards {why}")
         if row["underWay"] is not None and row["floor"] != int(row["floor"]):
             refuse("floor", f"is no whole number: {row['floor']:g}")
         if nodes * row["floor"] > (row["rate"] or row["underWay"]) + 1e-9:
@@ -78,7 +83,7 @@
         if limit.id() in names:
             other = names[limit.id()]
             refuse("name", "stands twice" if other == limit.name else f"is too like {other!r}: take another")
-        what = limit.kind, limit.tenant, limit.operation
+        what = limit.kind, limit.tenant, limit.operation, limit.further
         if what in on:
             refuse("name", f"is the same limit as {on[what]!r}")
         names[limit.id()] = on[what] = limit.name
@@ -90,7 +95,7 @@
     size = row["rate"] if rate else row["underWay"]
     return Limit(
         row["name"], RATE if rate else OPEN, int(size * unit), row["burst"] or 0, int(row["floor"] * unit),
-        row["tenant"], row["operation"], row["soft"],
+        row["tenant"], row["operation"], row["soft"], row["further"],
     )
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,7 +6,7 @@
 import pytest
 
 from grebedyke.checks import Unusable
-from grebedyke.ledger import IDEMPOTENT, OK
+from grebedyke.ledger import IDEMPOTENT, MOOT, OK
 from grebedyke.load import shape
 from grebedyke.load.clients import Clients
 from grebedyke.rig import broken, limited, rounds
@@ -134,6 +134,14 @@
     d.ended(500, "first", 0, OK, True)
     d.taken(600, "fourth", "op", "t", 50_000, 0, 1)
     assert pull(d, 600, "forward", "throttle")[0][:2] == ("forward", "fourth")
+    # Further forwards have a limit of their own: without one left an invocation is given up at once.
+    again = Limit("again", RATE, 1_000, 1, 1_000, None, "op", False, True)
+    d.shares.limits = meters.Gate([again], 1, 0.0, 0, 8_000, 0)
+    d.taken(20_000, "fifth", "op", "t", 70_000, 0, 1)
+    for now, n in ((20_000, 0), (20_100, 1)):
+        assert pull(d, now, "forward", "throttle")[0][:2] == ("forward", "fifth")
+        d.ended(now + 50, "fifth", n, MOOT, False)
+    assert pull(d, 20_200, "forward", "throttle")[0][:2] == ("throttle", "fifth")
     # A soft one only marks what is over: it comes behind the rest.
     d.shares.limits = meters.Gate([limits[0]._replace(soft=True, size=1)], 1, 0.0, 0, 8_000, -100_000)
     soft = [d.taken(700 + i, f"soft{i}", "op", "t", 50_000, 0, 1).over for i in range(2)]
@@ -154,6 +162,8 @@
     ([{"name": "a", "underWay": 9, "floor": 0.5}], "limits[0].floor is no whole number"),
     ([ROW, ROW], "limits[1].name stands twice"),
     ([ROW, {**ROW, "name": "b"}], "limits[1].name is the same limit as 'a'"),
+    ([{**ROW, "further": True, "soft": True}], "limits[0].soft is nothing here"),
+    ([{"name": "a", "underWay": 3, "further": True}], "limits[0].underWay is nothing here"),
     ([{**ROW, "floor": 4}], "limits[0].floor of 3 nodes is more than the limit"),
     ([{**ROW, "tenant": "nobody"}], "limits[0].tenant does not exist"),
     ([{**ROW, "operation": "nothing"}], "limits[0].operation does not exist"),
