--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -76,7 +76,7 @@
                 return await self.launch(name)
             except OSError as problem:
                 # Between the drawing of a port and its use another connection may have been given it.
-                if tries == 2 or "address already in use" not in str(problem):
+                if tries == 2 or "in use" not in str(problem):
                     raise
 
     async def launch(self, name):
--- a/grebedyke/rig/fleet.py
+++ b/grebedyke/rig/fleet.py
@@ -111,6 +111,10 @@
         end = asyncio.get_running_loop().time() + plain.STARTS
         while (await talk.call(self.nodes[name], "GET /up HTTP/1.1", wait=0.5))[0] != 200:
             if process.returncode is not None or asyncio.get_running_loop().time() > end:
+                if self.lives[name] == 1:
+                    # A relay, or another's connection, has been given the port since it was drawn.
+                    self.own[name] = self.consoles[name] = None
+                    self.lives[name] = 0
                 raise OSError(f"node {name} did not start: {self.last_words(name)}")
             await asyncio.sleep(0.05)
 
--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -74,7 +74,7 @@
             await load
             await self.until(lambda all_: all(s and s["sure"] and not s["plan"] for s in all_), "plans end")
             rig.fill(clients.ledger)
-            judge.rules(clients.ledger, rig.nodes)
+            judge.rules(clients.ledger, rig.nodes, bool(self.shares))
             judge.limits(clients.ledger, self.shares or (), LATE)
             judge.logs(rig.events(), 2, {f"node:{v}" for v in rig.voters})
         except Exception as problem:  # a rig that fails is no round that was passed
@@ -182,7 +182,9 @@
             await asyncio.sleep(0.05)
         self.busy.add(name)
         self.judge.done["nodes worked at"] += 1
+        start = asyncio.get_running_loop().time()
         await self.rig.end(name, signal.SIGTERM)
+        self.judge.stopped[name].append((start, asyncio.get_running_loop().time()))
         await asyncio.sleep(0.2 + self.random.random())
         await self.rig.launch(name)
         self.busy.discard(name)
