--- a/grebedyke/shares/books.py
+++ b/grebedyke/shares/books.py
@@ -18,8 +18,12 @@
 
     def reckon(self):
         """The most that this process may hold: of its grants the largest, as it may have got any of them."""
-        self.held = max([amount for _, amount, _ in self.grants] + [self.used])
-        return self.held
+        held = self.used
+        for _, amount, _ in self.grants:
+            if amount > held:
+                held = amount
+        self.held = held
+        return held
 
 
 class Books:
@@ -40,7 +44,8 @@
             entry.grants.popleft()
         entry.want, entry.heard = max(want - self.floor, 0), now
         entry.used = max(used - self.floor, 0) if self.kind == OPEN else 0
-        self.granted += -entry.held + entry.reckon()
+        before = entry.held
+        self.granted += entry.reckon() - before
         return entry
 
     def grant(self, now, key, number):
@@ -49,7 +54,8 @@
             self.lay(now)
         amount = min(entry.target, max(self.total - (self.granted - entry.held), 0))
         entry.grants.append((number, amount, now + self.ends + self.hold))
-        self.granted += -entry.held + entry.reckon()
+        before = entry.held
+        self.granted += entry.reckon() - before
         return amount
 
     def lay(self, now):
@@ -64,7 +70,8 @@
                     self.granted -= entry.held
                     del self.entries[key]
                     continue
-            self.granted += -entry.held + entry.reckon()
+            before = entry.held
+            self.granted += entry.reckon() - before
         live = [e for e in self.entries.values() if now < e.heard + self.ends]
         for entry, amount in zip(live, filled([e.want for e in live], self.total, self.turn), strict=True):
             entry.target = amount
--- a/grebedyke/shares/part.py
+++ b/grebedyke/shares/part.py
@@ -7,7 +7,7 @@
 from grebedyke.agreement.voter import VOTING
 from grebedyke.shares import limits as terms
 from grebedyke.shares.books import Books
-from grebedyke.shares.limits import OPEN, THOUSANDTHS, whole_bound
+from grebedyke.shares.limits import OPEN, RATE, THOUSANDTHS, whole_bound
 from grebedyke.shares.meters import Gate
 
 HOLDER = "holder"
@@ -30,6 +30,7 @@
         super().__init__(me)
         self.agreement, self.nodes, self.process = agreement, nodes, process
         self.lease, self.drift, self.hold, self.limits = lease, drift, hold, list(limits)
+        self.mark = terms.mark(self.limits)
         agreement.keys.append(HOLDER)
         agreement.followers.append(self.learned)
         self.next, self.begun, self.odd = 0, None, 0
@@ -64,7 +65,7 @@
 
     def retune(self, now, limits):
         """Limits of a changed configuration; what is out already binds until its lease ends."""
-        self.limits = list(limits)
+        self.limits, self.mark = list(limits), terms.mark(limits)
         self.gate.retune(limits, now)
         self.lay_books(now)
         self.next = now
@@ -193,8 +194,8 @@
         to = self.whom(now)
         if to is not None:
             have = self.have if self.term == term_of(self.value) else 0
-            own = terms.mark(self.limits)
-            self.send(to, ["s", self.number, term_of(self.value), self.process, have, own, wants, sizes])
+            term = term_of(self.value)
+            self.send(to, ["s", self.number, term, self.process, have, self.mark, wants, sizes])
 
     def whom(self, now):
         """The holder; where nothing comes of it, a voter in turn, who may know of another."""
@@ -215,12 +216,13 @@
             self.sizes = {**self.sizes, by: told}
             self.lay_books(now)
         given, wanted = [], {int(id): (int(want), int(used)) for id, want, used in wants}
+        begun = [kind for kind in (RATE, OPEN) if now >= self.open_at + self.wait(kind)]
         for id, books in self.books.items():
-            if now >= self.open_at + self.wait(books.kind) and (id in wanted or key in books.entries):
+            if books.kind in begun and (id in wanted or key in books.entries):
                 books.hear(now, key, int(have), *wanted.get(id, (0, 0)))
                 if amount := books.grant(now, key, int(number)):
                     given.append([id, amount])
-        self.send(by, ["S", number, term, mark != terms.mark(self.limits), given])
+        self.send(by, ["S", number, term, mark != self.mark, given])
 
     def granted(self, now, by, number, term, other, given):
         """Reckoned from when it was asked for, as the word may have been under way for any time."""
