--- a/grebedyke/rig/rounds.py
+++ b/grebedyke/rig/rounds.py
@@ -44,7 +44,7 @@
         voters = 3 if processes < 7 else 5
         # Some rounds go on under limits of the whole fleet, of which more is asked for than they let through.
         self.shares = [
-            {"name": "all", "rate": RATE * 2 / 3, "burst": max(20, processes), "floor": 0.4},
+            {"name": "all", "rate": RATE * 2 / 3, "burst": max(20, processes), "floor": RATE / 3 / processes},
             {"name": "confirms", "underWay": 3, "operation": "confirm"},
         ] if seed % 4 == 1 else None
         self.rig = Rig(
