--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -292,3 +292,37 @@
     assert part.agreed(40) == 17
     part.busy(50, ["e5"])
     assert part.agreed(60) == 19
+
+
+def test_promises_that_come_late_do_not_count():
+    # Simulated rounds 201147 and 201191: what a change rested on was old when its stopped proposer went on.
+    fleet, now = founded()
+    node, seen = fleet.nodes[0], []
+    node.change(now, "k", lambda old: (seen.append(old) or {"v": 1}, True), lambda now, result: None)
+    fleet.pull(now, 0)
+    first = node.rounds["k"]
+    for by in (1, 2):
+        node.heard(first.until, by, ["P", "k", first.ballot, [1, 101 + by], {}, [0, 0, 0], None])
+    assert not seen and first.phase == "p"
+    assert agree(fleet, now, 0, {"v": 2})[1] == [True] and seen
+
+
+def test_values_are_agreed_on_though_each_write_takes_longer_than_the_wait():
+    # Each try began anew with the same time: on a disk with slow syncs none came about.
+    fleet, now = founded()
+    results, late = [], []
+    fleet.nodes[0].change(now, "k", lambda old: ({"v": 1}, True), lambda now, result: results.append(result))
+    for now in range(now, now + 40_000, 100):
+        for i, node in enumerate(fleet.nodes):
+            for at, number in [x[1:] for x in late if x[0] == i and x[1] <= now]:
+                node.kept(now, "votes", number, True)
+            late = [x for x in late if not (x[0] == i and x[1] <= now)]
+            while (decision := node.decide(now)) is not None:
+                if decision[0] == "send":
+                    fleet.mail.append((i, *decision[1:]))
+                elif decision[0] == "keep":
+                    late.append((i, now + 600, decision[2]))
+        mail, fleet.mail = fleet.mail, []
+        for by, to, message in mail:
+            fleet.nodes[to].heard(now, by, message)
+    assert results == [True] and fleet.nodes[0].patience > 0
