What nodes say is heard by one rule in all parts; an old share tells its age

Cause, found on reading the change: grebedyke limits told 0 ms for a share whose ask was forgotten; only agreement left alone what a later build adds.

--- a/grebedyke/agreement/part.py
+++ b/grebedyke/agreement/part.py
@@ -77,7 +77,7 @@
         self.wishes, self.rounds, self.retry, self.counter = {}, {}, {}, 0
         self.learned, self.followers = {}, []  # key -> (ballot, value); who is told of each news
         self.told, self.states, self.next, self.recovering = {}, {}, 0, None
-        self.settling, self.why, self.odd, self.pause = False, "", 0, 0
+        self.settling, self.why, self.pause = False, "", 0
         self.watching, self.said = (), 0
 
     # What is known.
@@ -405,14 +405,9 @@
 
     def heard(self, now, by, message):
         kind, *rest = message
-        try:
-            take = self.TAKE.get(kind)
-            if take is None:
-                return False
-            # What a later build says beyond is left alone.
-            take(self, now, by, *rest[: take.__code__.co_argcount - 3])
-        except (TypeError, ValueError, KeyError, IndexError, AttributeError):
-            self.odd += 1  # another build's, or made up
+        if not isinstance(kind, str) or kind not in self.TAKE:
+            return False
+        self.hear(self.TAKE[kind].__get__(self), now, by, rest)
         return True
 
     def on_prepare(self, now, by, key, b, epoch, members):
--- a/grebedyke/agreement/seam.py
+++ b/grebedyke/agreement/seam.py
@@ -7,7 +7,7 @@
     """`me`: this node's number; what it sends itself it hears at once."""
 
     def __init__(self, me):
-        self.me, self.out, self.alarm = me, deque(), None
+        self.me, self.out, self.alarm, self.odd = me, deque(), None, 0
 
     def send(self, to, message):
         self.out.append(("send", to, message))
@@ -18,6 +18,13 @@
     def answer_call(self, call, status, told):
         self.out.append(("answer", call, status, told))
 
+    def hear(self, take, now, by, rest):
+        """take(now, by, *rest), whatever a node says: what a later build says beyond is left alone."""
+        try:
+            take(now, by, *rest[: take.__code__.co_argcount - 3])
+        except (TypeError, ValueError, KeyError, IndexError, AttributeError):
+            self.odd += 1  # another build's, or made up
+
     def pull(self, now):
         """The next decision that lies ready, or None."""
         while self.out:
--- a/grebedyke/maintenance/part.py
+++ b/grebedyke/maintenance/part.py
@@ -56,7 +56,7 @@
             {},
         )
         # What a voter has heard: acks[node] = (rev, process, when); when it first saw each number agreed on.
-        self.acks, self.firsts, self.backs, self.driving, self.drove, self.odd = {}, {}, {}, False, 0, 0
+        self.acks, self.firsts, self.backs, self.driving, self.drove = {}, {}, {}, False, 0
         self.first_list = True
 
     # The bound.
@@ -198,10 +198,7 @@
         kind, *rest = message
         if kind not in ("m", "M"):
             return False
-        try:
-            (self.asked if kind == "m" else self.granted)(now, by, *rest)
-        except (TypeError, ValueError, KeyError, IndexError, AttributeError):
-            self.odd += 1
+        self.hear(self.asked if kind == "m" else self.granted, now, by, rest)
         return True
 
     # The list.
--- a/grebedyke/rig/limited.py
+++ b/grebedyke/rig/limited.py
@@ -217,9 +217,7 @@
 def play(seed, seconds=30, **shape):
     """One round: (broken invariants, its world). The limits are halved and given back in the midst of it."""
     w = LimitedWorld(seed, **shape)
-    for host in w.hosts:
-        w.later(w.random.randrange(1, SECOND), host.start)
-    w.later(1, w.work)
+    w.open()
     w.later(1, w.move)
     w.run(20 * SECOND)
     w.moved = w.over.use(w.now, 8 * SECOND, w.now)
@@ -228,10 +226,7 @@
     w.faulty = w.over.use(w.now, 20 * SECOND, w.now)
     w.told(0.5)
     w.run(w.now + seconds * SECOND // 2)
-    w.run(max(w.faults_end, w.now) + SECOND)
-    for host in w.hosts:
-        if not host.alive:
-            host.start()
+    w.heal()
     # Where demand stays as it was last, the limit is used up; w.moved: where it moves, before the faults;
     # w.faulty: amid them.
     w.still, calm = True, w.now + 8 * SECOND
--- a/grebedyke/rig/world.py
+++ b/grebedyke/rig/world.py
@@ -266,6 +266,19 @@
 
     # What goes on there.
 
+    def open(self):
+        """All nodes begin within a second, and what goes on there with them."""
+        for host in self.hosts:
+            self.later(self.random.randrange(1, SECOND), host.start)
+        self.later(1, self.work)
+
+    def heal(self):
+        """Once the last fault has ended all nodes are up."""
+        self.run(max(self.faults_end, self.now) + SECOND)
+        for host in self.hosts:
+            if not host.alive:
+                host.start()
+
     def work(self):
         """Forwards, all the time, by every node to whatever it may use."""
         self.later(SECOND // 50, self.work)
@@ -517,9 +530,7 @@
 def play(seed, seconds=40, **shape):
     """One round: (broken invariants, its world). A plan is given early, and another in its way."""
     w = World(seed, **shape)
-    for host in w.hosts:
-        w.later(w.random.randrange(1, SECOND), host.start)
-    w.later(1, w.work)
+    w.open()
     w.later(1, w.operate)
     w.run(5 * SECOND)
     names = [e.name for e in w.executors]
@@ -538,10 +549,7 @@
     w.later(w.random.randrange(1, 3 * SECOND), w.call, b"/v1/maintenance/plan", other)
     w.trouble(seconds * SECOND)
     w.run(seconds * SECOND)
-    w.run(max(w.faults_end, w.now) + SECOND)
-    for host in w.hosts:
-        if not host.alive:
-            host.start()
+    w.heal()
     end = w.now + CALM
     while w.now < end and not w.settled():
         w.run(w.now + SECOND)
--- a/grebedyke/shares/part.py
+++ b/grebedyke/shares/part.py
@@ -33,11 +33,12 @@
         self.mark = terms.mark(self.limits)
         agreement.keys.append(HOLDER)
         agreement.followers.append(self.learned)
-        self.next, self.begun, self.odd = 0, None, 0
+        self.next, self.begun = 0, None
         # From the first moment on, by its floors: without it all would go through.
         self.gate = Gate(self.limits, nodes, drift, hold, lease, now)
         # This node's asks: when each was sent; the newest answered, and when that was asked.
         self.asks, self.number, self.have, self.answered, self.term = {}, 0, 0, None, 0
+        self.share_asked = None
         self.other, self.hurried = False, 0  # whether the holder has other limits
         # As a voter: when a holder that is sure of its place was heard of last.
         self.heard_at, self.proposing = 0, False
@@ -230,6 +231,7 @@
         if sent is None or not self.current(term) or number <= self.have and term == self.term:
             return
         self.have, self.term, self.answered, self.other = number, term, now, bool(other)
+        self.share_asked = sent
         until, amounts = sent + self.lease, {int(id): int(amount) for id, amount in given}
         for id, meter in self.gate.meters.items():
             meter.given(now, amounts.get(id, 0), until)
@@ -240,13 +242,10 @@
 
     def heard(self, now, by, message):
         kind, *rest = message
-        take = {"s": self.asked, "S": self.granted, "t": self.place_asked, "T": self.place_granted}.get(kind)
-        if take is None:
+        if kind not in ("s", "S", "t", "T"):
             return False
-        try:
-            take(now, by, *rest)
-        except (TypeError, ValueError, KeyError, IndexError, AttributeError):
-            self.odd += 1  # another build's, or made up
+        takes = {"s": self.asked, "S": self.granted, "t": self.place_asked, "T": self.place_granted}
+        self.hear(takes[kind], now, by, rest)
         return True
 
     # What this part needs nothing of.
@@ -297,7 +296,7 @@
             "holder": value and value["node"],
             "term": term_of(value),
             "holds": self.sure(now) and now >= self.open_at + self.wait(),
-            "asked_ms_ago": None if self.answered is None else (now - self.asks.get(self.have, now)) // 10,
+            "asked_ms_ago": None if self.share_asked is None else (now - self.share_asked) // 10,
             # A node that has been cut off goes on by its floor after that.
             "share_ends_ms": self.lease // 10,
             "next_holder_waits_ms": self.wait() // 10,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from click.testing import CliRunner
+
 from grebedyke.checks import Unusable
+from grebedyke.commands.main import cli
 from grebedyke.ledger import IDEMPOTENT, MOOT, OK
 from grebedyke.load import shape
 from grebedyke.load.clients import Clients
@@ -145,6 +148,12 @@
                 ["S"], ["S", "x", 3, False, 5], ["s", 1], ["t"], ["T", None, 1, 2, 3]):
         one.heard(4_200, 0, odd)
     assert meter.held(4_300) == 2_000 and one.odd == 4
+    # What a later build adds is left alone; an old share tells its age, long after its ask is forgotten.
+    third = asked(one, 8_000)
+    one.heard(8_100, 0, ["S", third, 3, False, [[id, 3_000]], "more"])
+    assert meter.held(8_200) == 3_000 and one.odd == 4
+    asked(one, 90_000)
+    assert one.state(100_000)["asked_ms_ago"] == 9_200
 
 
 def test_what_is_over_is_throttled_at_once_and_a_slot_outlasts_its_client():
@@ -236,6 +245,10 @@
             for name in rig.nodes:
                 rig.reload(name, lambda told: None)
             await asyncio.sleep(3)
+            # As operators see it; a node whose share is old says how old.
+            said = await asyncio.to_thread(
+                CliRunner().invoke, cli, ["limits", "--node", "%s:%d" % rig.consoles["n0"]])
+            assert said.exit_code == 0 and "holder node" in said.output and "15 a second" in said.output
             shares = []
             for name in rig.nodes:
                 _, told = await rig.call(name, "GET", "/v1/limits")
