What has not left the node when its client does is taken back, also a connect under way

Cause: Desk.left told the module and marked the invocation done, but nobody dropped the call: Endpoint.open carried it once its connection was up, and a line whose kernel took no more went on writing. The same for an invocation that got its final answer meanwhile. Ruled out: the module (it places nothing that its client left) and the ring (written in the same turn). Change: once nobody waits for an invocation, each of its forwards that has not left this machine is dropped and told as moot, as it never ran; by_hand uses the same.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -62,7 +62,7 @@
             owed.client = None
             self.gauges.count("left")
             self.dispatcher.left(now, owed.id)
-            self.settle(owed)
+            self.settle(now, owed)
 
     def news(self, now, id, name, state, result, load=None, ours=True):
         """The effect comes once: by invocation and executor, and never on a forward that has ended.
@@ -136,9 +136,7 @@
         if out:
             # What still connects would reach an executor of which the operators were told that it is out.
             for flight in [f for owed in self.owed.values() for f in owed.flights if f.endpoint.name == name]:
-                if flight.call and not (flight.done or flight.call.over or flight.call.sent()):
-                    flight.call.drop()
-                    self.end(now, flight, ledger.MOOT)
+                self.take_back(now, flight)
         return self.dispatcher.by_hand(now, name, out)
 
     def heard(self, now, by, body):
@@ -154,7 +152,7 @@
         if outcome == ledger.OK and owed.client:
             self.reply(now, owed, 200, "succeeded", result)
         self.dispatcher.ended(now, owed.id, flight.n, outcome, owed.client is None, free)
-        self.settle(owed)
+        self.settle(now, owed)
 
     def reply(self, now, owed, status, outcome, body=b"", headers=""):
         client, owed.client = owed.client, None
@@ -163,9 +161,18 @@
         self.gauges.count(outcome)
         self.gauges.wait(now - owed.came)
 
-    def settle(self, owed):
+    def take_back(self, now, flight):
+        """What has not left this machine, its connection still coming up or its bytes still here."""
+        if flight.call and not (flight.done or flight.call.over or flight.call.sent()):
+            flight.call.drop()
+            self.end(now, flight, ledger.MOOT)
+
+    def settle(self, now, owed):
         if owed.client is None:
             owed.body = None
+            # Nobody waits for it any more: a forward that waited for its connection went out all the same.
+            for flight in owed.flights:
+                self.take_back(now, flight)
             if not owed.open:
                 self.owed.pop(owed.id, None)
 
@@ -219,7 +226,7 @@
             self.dispatcher.left(now, owed.id)
             for flight in owed.flights:
                 self.overdue(now, flight)
-            self.settle(owed)
+            self.settle(now, owed)
 
     # What the module decided.
 
@@ -262,7 +269,7 @@
         owed = self.owed.get(id)
         if owed and owed.client:
             self.reply(now, owed, status, outcome, headers=headers)
-            self.settle(owed)
+            self.settle(now, owed)
 
     def probe(self, now, name):
         endpoint, sent = self.pool.endpoint(name), [False]
--- /dev/null
+++ b/tests/test_left.py
@@ -0,0 +1,93 @@
+"""A client that leaves while its invocation waits: it is not sent on any more, wherever it waits."""
+import asyncio
+
+import pytest
+from crossing import Client, Executor, Place, until
+
+
+def gone(place, id=b"r1"):
+    """The node knows that this one's client has left."""
+    owed = place.desk.owed.get(id)
+    return owed is None or owed.client is None
+
+
+async def waits_for_its_line(place, client):
+    """Its forward is decided, and the connection for it is still coming up."""
+    await until(lambda: place.gate.up == 1, "the connect")
+
+
+@pytest.mark.parametrize("reset", (False, True))
+@pytest.mark.parametrize("stops", (False, True))
+def test_a_client_that_leaves_before_its_connection_is_up_is_not_sent_on(reset, stops):
+    # The bench of the operators counts what goes out 0.3 s after the client's close.
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            client, other = Client(place.address).hand_in(), Client(place.address)
+            await waits_for_its_line(place, client)
+            if stops:
+                other.hand_in("r2")
+                await until(lambda: place.gate.up == 2, "the second connect")
+                place.node.stop()
+            client.leave(reset)
+            await until(lambda: gone(place), "that the client has left")
+            place.gate.open.set()
+            if not stops:
+                other.hand_in("r2")
+            await until(lambda: executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave()
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r2"]
+
+
+def test_what_stands_half_written_in_a_line_is_taken_back():
+    # The executor reads nothing: the kernel has a part of the body, so the last byte never comes.
+    async def story():
+        executor = await Executor().start(narrow=True)
+        executor.reads.clear()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            place.gate.narrow = True
+            place.gate.open.set()
+            client = Client(place.address).hand_in(body=b"x" * 65_536)
+            await until(lambda: place.endpoint().lines, "a line")
+            line = next(iter(place.endpoint().lines))
+            await until(lambda: not line.whole, "a kernel that takes no more")
+            client.leave()
+            await until(lambda: gone(place), "that the client has left")
+            await until(lambda: not place.endpoint().lines, "the line's end")
+            executor.reads.set()
+        executor.server.close()
+        assert not executor.seen
+
+    asyncio.run(story())
+
+
+def test_what_the_module_gave_up_is_not_sent_by_a_connection_that_comes_up():
+    async def story(how):
+        executor = await Executor().start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            client = Client(place.address).hand_in()
+            await waits_for_its_line(place, client)
+            if how == "throttle":
+                place.desk.do(place.turn.clock(), ("throttle", b"r1", 0))
+                place.desk.dispatcher.left(place.turn.clock(), b"r1")
+            else:
+                place.desk.overslept(place.turn.clock(), place.desk.owed[b"r1"])
+            place.turn.hurry()
+            answer = await client.answer()
+            place.gate.open.set()
+            client.leave()
+            other = Client(place.address).hand_in("r2")
+            await until(lambda: executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave()
+        executor.server.close()
+        return answer[9:12], executor.seen
+
+    assert asyncio.run(story("throttle")) == (b"503", [b"r2"])
+    assert asyncio.run(story("overslept")) == (b"500", [b"r2"])
