A client that writes on behind its open invocation is seen to leave; nothing behind it is taken

Cause: Connection.buffer_updated pauses reading once the ring is full, and only Client.answered resumed it: a close behind 8 KB stood unread until the answer, then what stood in the ring was taken as an invocation of a client long gone, and sent on. Seen: forced on real sockets with 42 KB and 3 MB behind, closing and resetting; without the change the executor gets r3 after its client's close, and a second answer (431) follows the first.

--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -16,6 +16,8 @@
 # After an error that ends a connection, so much of what still comes is read, for so long: a close before that
 # could reset the answer, and reading all of a huge body would take the node's time from others.
 WASTE, FAREWELL = 1 << 18, 10_000
+# Past that, who writes on behind an open invocation is read by as much each so often.
+BREATH = 200
 # What may stand in an id: it also goes into a target and a header line of its own.
 PLAIN = frozenset(b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-._~")
 ONCE = (b"x-request-id", b"x-timeout-ms", b"x-priority-class", b"idempotency-key")
@@ -28,6 +30,7 @@
         super().__init__(door.turn.touch, once=ONCE)
         self.door, self.owed, self.caller, self.keep, self.crowded = door, None, False, True, False
         self.good, self.waste = False, 0      # good: has handed in an invocation or called back
+        self.spilt = False
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -39,7 +42,23 @@
     def eof_received(self):
         return False      # the peer has gone, also where an answer is owed
 
+    def spill(self):
+        """More than the ring holds, behind an open invocation: thrown away, and the answer ends the connection.
+
+        Reading that paused until the answer did not see the client leave: its invocation was sent on, and
+        what stood behind it was taken for one whose client waits.
+        """
+        self.spilt, self.keep, self.lingers = True, False, True
+        self.waste += self.ring.used
+        self.ring.skip(self.ring.used)
+        if self.waste > WASTE and not self.transport.is_closing():
+            self.waste = 0
+            self.transport.pause_reading()
+            self.door.turn.after(BREATH, lambda now: self.transport.resume_reading())
+
     def read(self):
+        if self.owed is not None and (self.spilt or not self.ring.free()):
+            return self.spill()
         if self.last:
             self.waste += self.ring.used
             self.ring.skip(self.ring.used)      # of a peer that still writes after its last answer
@@ -92,6 +111,8 @@
     def answered(self):
         """The owed answer is written: what the peer has sent meanwhile is read now."""
         self.owed = None
+        if self.lingers:
+            self.door.turn.after(FAREWELL, lambda now: self.close())
         if not self.last and self.parser.begun():
             self.read()
         self.more()
--- a/grebedyke/wire/connection.py
+++ b/grebedyke/wire/connection.py
@@ -64,7 +64,10 @@
             # A write that fails ends the transport at once, and of this message nothing has gone out.
             self.whole = self.whole and not self.transport.is_closing()
         if self.last and self.lingers:
-            self.transport.write_eof()
+            try:
+                self.transport.write_eof()
+            except OSError:
+                self.transport.abort()      # the peer has reset it, which is not read yet
         elif self.last:
             self.transport.close()
 
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -61,7 +61,7 @@
         if narrow:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         sock.bind(("127.0.0.1", 0))
-        self.server = await asyncio.start_server(self.talk, sock=sock, limit=1 << 17)
+        self.server = await asyncio.start_server(self.talk, sock=sock, limit=4096)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
         return self
 
@@ -147,10 +147,14 @@
     def __init__(self, address):
         self.socket = socket.create_connection(address)
 
-    def hand_in(self, id="r1", wait=8000, operation="op", body=b"abc", more=b""):
+    @staticmethod
+    def head(id, length, wait=8000, operation="op"):
         head = (f"POST /{operation}/k HTTP/1.1\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: {wait}\r\n"
-                f"Idempotency-Key: i-{id}\r\nContent-Length: {len(body)}\r\n\r\n")
-        self.socket.sendall(head.encode() + body + more)
+                f"Idempotency-Key: i-{id}\r\nContent-Length: {length}\r\n\r\n")
+        return head.encode()
+
+    def hand_in(self, id="r1", wait=8000, operation="op", body=b"abc"):
+        self.socket.sendall(self.head(id, len(body), wait, operation) + body)
         return self
 
     def leave(self, reset=False):
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -91,3 +91,47 @@
 
     assert asyncio.run(story("throttle")) == (b"503", [b"r2"])
     assert asyncio.run(story("overslept")) == (b"500", [b"r2"])
+
+
+def test_who_writes_on_behind_its_invocation_is_seen_to_leave():
+    # Reading paused until the answer: the close stood unread behind what came before it.
+    async def story(more, reset):
+        executor = await Executor().start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            client = Client(place.address).hand_in()
+            await waits_for_its_line(place, client)
+            client.socket.settimeout(10)
+            await asyncio.to_thread(client.socket.sendall, more)
+            client.leave(reset)
+            await until(lambda: gone(place), "that the client has left")
+            place.gate.open.set()
+            other = Client(place.address).hand_in("r2")
+            await until(lambda: executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave()
+        executor.server.close()
+        return executor.seen
+
+    another = Client.head("r3", 3) + b"abc"
+    for more in (another, another * 400, b"x" * 3_000_000):
+        for reset in (False, True):
+            assert asyncio.run(story(more, reset)) == [b"r2"], (len(more), reset)
+
+
+def test_who_writes_on_behind_its_invocation_and_stays_gets_its_answer_and_the_end():
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            client = Client(place.address).hand_in()
+            await until(lambda: executor.seen, "the forward")
+            await asyncio.to_thread(client.socket.sendall, b"y" * 600_000)
+            await place.tell("done", more=',"result":"all of it"')
+            answer = await client.answer()
+            client.leave()
+        executor.server.close()
+        return answer, executor.seen
+
+    answer, seen = asyncio.run(story())
+    assert b" 200 " in answer and answer.endswith(b"all of it") and b"Connection: close" in answer
+    assert seen == [b"r1"]
