After a stall, and once in a turn as long, what came in is read before anything goes out

Cause: a turn runs in the pass that read an invocation; its client's close, in the kernel since the stall, is read a pass later, and an idle line has carried it by then. Seen: forced on real sockets, the loop blocked for 0.35 s with invocation and close in the kernel, and within a turn: without the change r1 goes out in both, with it never.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -236,7 +236,9 @@
     def forward(self, now, id, name, allowed):
         owed, endpoint = self.owed[id], self.pool.endpoint(name)
         flight = Flight(owed, endpoint)
-        if owed.client is None or flight.n >= self.most_forwards or allowed <= 0:
+        # Its close may have been read in this very pass: that it has left is told with the next turn.
+        gone = owed.client is None or owed.client.gone()
+        if gone or flight.n >= self.most_forwards or allowed <= 0:
             self.turn.put(self.unmade, flight)
             return
         method, target, key = owed.line
--- a/grebedyke/service/turn.py
+++ b/grebedyke/service/turn.py
@@ -7,6 +7,8 @@
 
 BEAT = 200       # a node that is idle looks up this often, to know when it stood still
 STALL = 800
+# After a stall: one pass accepts, one or two set up, one reads an invocation, one that its client has left.
+PASSES = 5
 
 
 class Turn:
@@ -21,6 +23,7 @@
         self.inbox, self.touched, self.limits, self.count = [], {}, [], 0
         self.soon, self.timer, self.armed = False, None, 0
         self.last_look = None      # called right before a turn's messages are written
+        self.put_off, self.late_look = 0, False
         self.marks = deque([self.clock()] * 3, 3)
 
     @staticmethod
@@ -79,6 +82,11 @@
         self.hurry()
 
     def run(self):
+        if self.unread(self.clock()) and self.put_off < PASSES:
+            # What came in meanwhile is read first, to its end: a client may be long gone by now.
+            self.put_off += 1
+            return self.loop.call_soon(self.run)
+        self.put_off = 0
         self.mark()
         now = self.marks[-1]
         try:
@@ -87,7 +95,9 @@
                 self.guard(self.carry, now, decision)
             if self.last_look:
                 self.guard(self.last_look, self.clock())
-            touched, self.touched = self.touched, {}
+            # A turn as long as a stall: who left meanwhile is read before anything goes out, once.
+            self.late_look = self.clock() - now > STALL and not self.late_look
+            touched, self.touched = (self.touched, {}) if not self.late_look else ({}, self.touched)
             for connection in touched:
                 self.guard(self.flush, now, connection)
         finally:
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -85,6 +85,9 @@
                 self.send(http.CONTINUE)
         self.door.rest(self)
 
+    def gone(self):
+        return self.transport is None or self.transport.is_closing()
+
     def movable(self):
         """Nothing of it is half read, owed or still to be written here: another process can go on with it."""
         done = self.owed is None and not self.last and not self.parser.begun() and not (self.out.used
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -1,5 +1,6 @@
 """A client that leaves while its invocation waits: it is not sent on any more, wherever it waits."""
 import asyncio
+import time
 
 import pytest
 from crossing import Client, Executor, Place, until
@@ -11,6 +12,16 @@
     return owed is None or owed.client is None
 
 
+async def one_before(place, executor):
+    """So that an idle line is there, which carries at once."""
+    first = Client(place.address).hand_in("r0")
+    await until(lambda: executor.seen, "the first")
+    await place.tell("done", "r0")
+    assert b" 200 " in await first.answer()
+    first.leave()
+    await until(lambda: not place.door.clients, "its close")
+
+
 async def waits_for_its_line(place, client):
     """Its forward is decided, and the connection for it is still coming up."""
     await until(lambda: place.gate.up == 1, "the connect")
@@ -135,3 +146,58 @@
     answer, seen = asyncio.run(story())
     assert b" 200 " in answer and answer.endswith(b"all of it") and b"Connection: close" in answer
     assert seen == [b"r1"]
+
+
+def test_a_client_that_left_while_the_node_stood_still_is_not_sent_on():
+    # Both lie in the kernel when the loop goes on: what is read before the turn's decisions is in time.
+    async def story(kept, reset):
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            await one_before(place, executor)
+            client = Client(place.address)
+            if kept:
+                await until(lambda: len(place.door.clients) == 1, "the connection")
+            client.hand_in().leave(reset)
+            time.sleep(0.35)      # the stall itself
+            await until(lambda: place.turn.gauges.counts["left"] or len(executor.seen) > 1, "its end")
+            other = Client(place.address).hand_in("r2")
+            await until(lambda: b"r2" in executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave()
+        executor.server.close()
+        return executor.seen
+
+    for kept in (True, False):
+        for reset in (False, True):
+            assert asyncio.run(story(kept, reset)) == [b"r0", b"r2"], (kept, reset)
+
+
+@pytest.mark.parametrize("opens", (False, True))
+def test_a_client_that_leaves_in_a_long_turn_is_not_sent_on(opens):
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            if not opens:
+                await one_before(place, executor)
+            client, forward, long = Client(place.address), place.desk.deeds["forward"], []
+
+            def forward_long(now, *what):
+                forward(now, *what)
+                if not long:
+                    long.append(what)
+                    client.leave()
+                    time.sleep(0.35)      # the turn's own length
+
+            place.desk.deeds["forward"] = forward_long
+            client.hand_in()
+            await until(lambda: long and gone(place), "that the client has left")
+            other = Client(place.address).hand_in("r2")
+            await until(lambda: b"r2" in executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave()
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == ([] if opens else [b"r0"]) + [b"r2"]
