A connection that comes up is looked at again: list, life, and whether it still stands

Cause: Endpoint.open carried its call whatever had come meanwhile. The list may say draining or gone (a connect limit beyond the drain grace sends past it), another address or a new life; the line may be lost before the task goes on, and then nobody told the call its end; a host that no resolver takes raises UnicodeError, and the call had no end at all. A line to a former life that was in use at the move came to rest among those of the next. Change: the life of the executor is kept with call and line; where it, the list or the line no longer hold when the connection is up, UNSENT is told; lines of a former life end instead of resting. Seen: forced on real sockets (connect done at the kernel, the task held): without the change the forward goes to the draining, gone or moved executor, waits for its time limit or goes to the former life's process; with it, none.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -109,7 +109,7 @@
             self.end(now, flight, outcome, free=reports.free(reports.figures(load)))
 
     def listed(self, now, whole, rows):
-        self.pool.listed(whole, [(row[0], row[1], row[5] == "gone", row[6]) for row in rows])
+        self.pool.listed(whole, [(row[0], row[1], row[5], row[6]) for row in rows])
         self.dispatcher.listed(now, whole, [
             (name, zone, kind, cell, state, since and since * 10 + self.shift, weight)
             for name, _, zone, kind, cell, state, since, weight in rows])
@@ -126,7 +126,8 @@
             (e.name, e.address, e.since) for e in self.pool.endpoints.values() if e.listed and e.address]}
 
     def recall(self, now, books):
-        self.pool.listed(True, [(name, tuple(place), False, since) for name, place, since in books["places"]])
+        self.pool.listed(
+            True, [(name, tuple(place), "healthy", since) for name, place, since in books["places"]])
         self.dispatcher.fleet.recall(now, books["executors"])
         # A process of before this had no such books: what it has sent is unknown.
         self.dispatcher.budget.recall(now, *books.get("budget") or ((), (), 0, 0))
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -43,7 +43,7 @@
         return False      # the peer has gone, also where an answer is owed
 
     def spill(self):
-        """More than the ring holds, behind an open invocation: thrown away, and the answer ends the connection.
+        """More than the ring holds behind an open invocation is thrown away; its answer ends the connection.
 
         Reading that paused until the answer did not see the client leave: its invocation was sent on, and
         what stood behind it was taken for one whose client waits.
--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -12,11 +12,12 @@
 
     UNSENT is told only where the last byte never reached the kernel; all else may have arrived.
     """
-    __slots__ = ("endpoint", "head", "body", "done", "line", "task", "over", "since", "opened")
+    __slots__ = ("endpoint", "head", "body", "done", "line", "task", "over", "since", "opened", "life",
+                 "forwards")
 
-    def __init__(self, endpoint, head, body, done):
+    def __init__(self, endpoint, head, body, done, forwards):
         self.endpoint, self.head, self.body, self.done = endpoint, head, body, done
-        self.line = self.task = None
+        self.line, self.task, self.life, self.forwards = None, None, endpoint.life(), forwards
         self.over, self.since, self.opened = False, 0, False
 
     def end(self, how, status=0, headers=None, body=b""):
@@ -43,6 +44,7 @@
     def __init__(self, endpoint):
         super().__init__(endpoint.pool.turn.touch, answers=True)
         self.endpoint, self.call, self.since, self.kept, self.fresh = endpoint, None, 0, 0, True
+        self.life = endpoint.life()
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -98,7 +100,10 @@
 
     def __init__(self, pool, name):
         self.pool, self.name, self.address, self.idle, self.lines = pool, name, None, [], {}
-        self.host, self.flights, self.listed, self.since = b"", 0, False, None
+        self.host, self.flights, self.listed, self.since, self.takes = b"", 0, False, None, False
+
+    def life(self):
+        return self.address, self.since
 
     def move(self, address, since):
         """Drops lines to a former life: a machine that vanished neither ends them nor answers on them."""
@@ -111,13 +116,17 @@
     def call(self, method, target, headers, body, done):
         """Sends at the end of this turn, on an idle line or a new one."""
         length = len(body) if method == b"POST" else None
-        call = Call(self, http.request(method, target, self.host, headers, length), body, done)
+        head = http.request(method, target, self.host, headers, length)
+        call = Call(self, head, body, done, method == b"POST")
         now = self.pool.turn.clock()
         call.since = now
         # An executor closes what stood idle: a message that crosses that ends as a reset. What is too old to
         # be used stays until the sweep: when the executor closes it, that tells how long it really keeps one.
-        while self.idle and now - self.idle[-1].since < self.pool.usable:
-            line = self.idle.pop()
+        for line in self.idle[::-1]:
+            rested = now - line.since
+            if rested >= self.pool.usable:
+                break
+            self.idle.remove(line)
             if not line.transport.is_closing():
                 line.carry(call)
                 return call
@@ -132,20 +141,27 @@
         return call
 
     async def open(self, call):
+        line = None
         self.pool.opening += 1
         try:
-            _, line = await self.pool.loop.create_connection(lambda: Line(self), *self.address)
-        except OSError:
-            line = None
+            _, line = await self.pool.loop.create_connection(lambda: Line(self), *call.life[0])
+        except Exception as problem:
+            # A name that no resolver takes is no OSError, and the call would have no end.
+            if not isinstance(problem, OSError) and self.pool.turn.gauges.few("odd"):
+                logger.warning("executor {executor}: no connection: {why}", event="connect-odd",
+                               executor=self.name, why=repr(problem))
         finally:
             self.pool.opening -= 1
         call.task = None
-        if line is None:
-            call.end(UNSENT)
-        elif call.over:
+        # The list may have said more while it came up: another address or life, or that nothing new is wanted.
+        fits = line and call.life == self.life() and not line.transport.is_closing()
+        if fits and not call.over and (self.takes or not call.forwards):
+            return line.carry(call)
+        if fits:
             self.rest(line)
-        else:
-            line.carry(call)
+        elif line:
+            line.close()
+        call.end(UNSENT)
 
     def late(self, now, call):
         if call.task and not call.over:
@@ -154,6 +170,8 @@
             call.end(UNSENT)
 
     def rest(self, line):
+        if line.life != self.life():
+            return line.close()      # to a former life: it answered there, the next is for who lives now
         line.since, line.fresh = self.pool.turn.clock(), False
         self.idle.append(line)
 
@@ -196,13 +214,13 @@
         return bool(idle)
 
     def listed(self, whole, rows):
-        """rows: (name, address, gone, since)."""
+        """rows: (name, address, state, since)."""
         for endpoint in self.endpoints.values() if whole else ():
-            endpoint.listed = False
-        for name, address, gone, since in rows:
+            endpoint.listed = endpoint.takes = False
+        for name, address, state, since in rows:
             endpoint = self.endpoint(name)
-            endpoint.listed = not gone
-            if not gone:
+            endpoint.listed, endpoint.takes = state != "gone", state == "healthy"
+            if endpoint.listed:
                 endpoint.move(address, since)
 
     def sweep(self, now):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -140,7 +140,7 @@
 
     def create_task(self, work):
         work.close()
-        return SimpleNamespace(cancel=lambda: None)
+        return SimpleNamespace(cancel=lambda: None, add_done_callback=lambda call: None)
 
     def go(self):
         while self.ready:
@@ -170,7 +170,7 @@
     desk = Desk(told, turn, pool, turn.gauges, 5, 100, b"/alive", 5_000, 200, 50)
     door = Door(turn, {"op": 40_000}, desk.take, desk.news, desk.left, most, share, 60_000)
     turn.decide, turn.carry = told.decide, desk.do
-    pool.listed(True, [(name, ("127.0.0.9", 1), False, 0) for name in ("s-1", "s-2")])
+    pool.listed(True, [(name, ("127.0.0.9", 1), HEALTHY, 0) for name in ("s-1", "s-2")])
     node = SimpleNamespace(loop=loop, told=told, turn=turn, pool=pool, desk=desk, door=door, lines=[])
     for endpoint in pool.endpoints.values():
         node.lines.append(join(Line(endpoint)))
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,104 @@
+"""Connections to executors: what comes between a connect and its use, an answer and the next message."""
+import asyncio
+
+import pytest
+from crossing import Agent, Client, Executor, Place, until
+
+ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+
+async def ended(place, client, id="r1", name="s-1"):
+    await place.tell("done", id, name)
+    assert b" 200 " in await client.answer()
+    client.leave()
+
+
+@pytest.mark.parametrize("says", ("draining", "gone", "moved", "restarted"))
+def test_what_the_list_says_while_a_connection_comes_up_is_looked_at_again(says):
+    # A connect may take longer than the drain grace; and what a former life gets, nobody answers.
+    async def story():
+        old, new, agent = await Executor().start(), await Executor("s-2").start(), await Agent().start()
+        async with Place(old.row(), agent=agent, gate=[old.address]) as place:
+            client = Client(place.address).hand_in()
+            await until(lambda: place.gate.up == 1 and agent.asked, "connect and watch")
+            then = {"draining": [old.row(status="Terminating"), new.row()],
+                    "gone": [old.row(status="Gone"), new.row()],
+                    "moved": [{**new.row(), "name": "s-1"}],
+                    "restarted": [{**new.row(since_ms=5), "name": "s-1"}]}[says]
+            if says == "restarted":      # the same address again, as another process: nothing of the old goes on
+                then = [old.row(since_ms=5)]
+            version = place.node.watch.index
+            agent.say(2, *then)
+            await until(lambda: place.node.watch.index != version and not place.turn.inbox, "the list")
+            place.gate.open.set()
+            whom = old if says == "restarted" else new
+            await until(lambda: whom.seen, "the forward")
+            await ended(place, client, name="s-2" if says in ("draining", "gone") else "s-1")
+        for server in (old, new, agent):
+            server.server.close()
+        return old.seen, new.seen, len(old.lines)
+
+    # The line to a former life is closed, also where the next one has the same address.
+    assert asyncio.run(story()) == (([b"r1"], [], 2) if says == "restarted" else ([], [b"r1"], 1))
+
+
+def test_a_connection_that_was_lost_before_it_carried_is_told_at_once():
+    async def story():
+        executor, other = await Executor().start(), await Executor("s-2").start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            client = Client(place.address).hand_in()
+            await until(lambda: place.gate.up == 1 and executor.lines, "the connect")
+            executor.lines[0].close()
+            await until(lambda: not place.endpoint().lines, "that it is lost")
+            place.desk.listed(place.turn.clock(), False, [
+                ("s-2", ("127.0.0.1", int(other.address.rpartition(":")[2])), "a", "m", 0, "healthy", 0, 1)])
+            place.gate.open.set()
+            await until(lambda: other.seen or executor.seen, "the next forward")
+            name = "s-2" if other.seen else "s-1"
+            await ended(place, client, name=name)
+        for server in (executor, other):
+            server.server.close()
+        return executor.seen + other.seen
+
+    assert asyncio.run(story()) == [b"r1"]
+
+
+def test_a_host_that_cannot_be_looked_up_ends_the_call_at_once():
+    # The resolver's refusal of such a name is no OSError: the call had no end before a time limit.
+    async def story():
+        other, agent = await Executor("s-2").start(), await Agent().start()
+        async with Place(other.row(name="s-1", address="a..b:80"), agent=agent) as place:
+            client = Client(place.address).hand_in()
+            await until(lambda: place.turn.gauges.counts["unconnected"] and agent.asked, "the failed connect")
+            agent.say(2, other.row())
+            await until(lambda: other.seen, "the next forward")
+            await ended(place, client, name="s-2")
+        for server in (other, agent):
+            server.server.close()
+        return other.seen
+
+    assert asyncio.run(story()) == [b"r1"]
+
+
+def test_a_line_to_a_former_life_does_not_rest_among_those_of_the_next():
+    async def story():
+        old, new, agent = await Executor().start(), await Executor().start(), await Agent().start()
+        old.answers = lambda line, head: b""
+        async with Place(old.row(), agent=agent) as place:
+            first = Client(place.address).hand_in("r0")
+            await until(lambda: old.seen and agent.asked, "forward and watch")
+            agent.say(2, new.row())
+            await until(lambda: place.node.watch.index == 2 and not place.turn.inbox, "the list")
+            old.lines[0].write(ACCEPTED)
+            await until(lambda: not place.endpoint().lines or place.endpoint().idle, "the answer")
+            await ended(place, first, "r0")
+            place.pool.wary = 0
+            second = Client(place.address).hand_in("r1")
+            await until(lambda: len(old.seen + new.seen) == 2, "the second forward")
+            if new.seen:
+                await ended(place, second)
+        for server in (old, new, agent):
+            server.server.close()
+        return old.seen, new.seen
+
+    assert asyncio.run(story()) == ([b"r0"], [b"r1"])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -188,7 +188,7 @@
     for since, address, closing in ((0, 1, False), (0, 1, False), (900, 1, True), (900, 2, True)):
         line = node.lines[0] = join(type(node.lines[0])(node.pool.endpoints["s-1"]))
         node.pool.endpoints["s-1"].idle = [line]
-        node.pool.listed(False, [("s-1", ("127.0.0.9", address), False, since)])
+        node.pool.listed(False, [("s-1", ("127.0.0.9", address), "healthy", since)])
         assert line.transport.closing == closing, (since, address)
 
 
