All calls of one turn share the room for connections to executors

Cause: Pool.opening was counted when the connect's task began, a pass after the turn, so all calls of one turn saw the same room; a line closed to make room stayed on the books until its end was told, so each of them closed the same one. Change: counted at the call, off the books at the close. With 256 descriptors that burst meets the limit and asyncio stops accepting for a second.

--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -135,14 +135,16 @@
             self.pool.turn.put(lambda now: call.end(UNSENT))
             return call
         self.pool.turn.gauges.count("connects")
+        # Counted from here on: of the calls of one turn none has begun to connect when the next asks for room.
+        self.pool.opening += 1
         call.opened, call.task = True, self.pool.loop.create_task(self.open(call))
+        call.task.add_done_callback(self.pool.opened)
         # Connecting has a limit of its own, far under the forward's: a vanished machine never comes up.
         self.pool.turn.after(self.pool.connect, self.late, call)
         return call
 
     async def open(self, call):
         line = None
-        self.pool.opening += 1
         try:
             _, line = await self.pool.loop.create_connection(lambda: Line(self), *call.life[0])
         except Exception as problem:
@@ -150,8 +152,6 @@
             if not isinstance(problem, OSError) and self.pool.turn.gauges.few("odd"):
                 logger.warning("executor {executor}: no connection: {why}", event="connect-odd",
                                executor=self.name, why=repr(problem))
-        finally:
-            self.pool.opening -= 1
         call.task = None
         # The list may have said more while it came up: another address or life, or that nothing new is wanted.
         fits = line and call.life == self.life() and not line.transport.is_closing()
@@ -205,12 +205,18 @@
     def endpoint(self, name):
         return self.endpoints.get(name) or self.endpoints.setdefault(name, Endpoint(self, name))
 
+    def opened(self, task):
+        self.opening -= 1
+
     def room(self):
         if len(self.lines) + self.opening < self.most:
             return True
         idle = [e.idle[0] for e in self.endpoints.values() if e.idle]
         if idle:
-            min(idle, key=lambda line: line.since).close()
+            # Off the books at once: its end is told a pass later, and each call of a turn took the same one.
+            longest = min(idle, key=lambda line: line.since)
+            longest.endpoint.lost(longest)
+            longest.close()
         return bool(idle)
 
     def listed(self, whole, rows):
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -80,6 +80,38 @@
     assert asyncio.run(story()) == [b"r1"]
 
 
+def test_the_calls_of_one_turn_share_the_room_for_lines():
+    # None of them had begun to connect when the next asked for room, and a line that was closed to make
+    # room stayed on the books: a burst took more descriptors than its share, up to the limit on all.
+    async def story(idle):
+        executor, other = await Executor().start(), await Executor("s-2").start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            pool, most = place.pool, []
+            pool.most = 6
+            if idle:
+                for i in range(6):
+                    pool.endpoint("s-2").listed = True
+                    pool.endpoint("s-2").move(("127.0.0.1", int(other.address.rpartition(":")[2])), 0)
+                    pool.endpoint("s-2").call(b"GET", b"/alive", (), b"", lambda *_: None)
+                await until(lambda: len(pool.endpoint("s-2").idle) == 6, "six idle lines")
+            ends = []
+            for i in range(20):
+                pool.endpoint("s-1").call(b"GET", b"/alive", (), b"", lambda how, *_: ends.append(how))
+                most.append(len(pool.lines) + pool.opening)
+            await until(lambda: len(ends) == 14, "what found no room")
+            await until(lambda: place.gate.up == 6, "the connects")
+            most.append(len(pool.lines) + pool.opening - place.gate.up)      # held: a line, and still opening
+            place.gate.open.set()
+            await until(lambda: len(ends) == 20, "all ends")
+            most.append(len(pool.lines))
+        for server in (executor, other):
+            server.server.close()
+        return max(most), ends.count("answered")
+
+    assert asyncio.run(story(False)) == (6, 6)
+    assert asyncio.run(story(True)) == (6, 6)
+
+
 def test_a_line_to_a_former_life_does_not_rest_among_those_of_the_next():
     async def story():
         old, new, agent = await Executor().start(), await Executor().start(), await Agent().start()
