Answers told twice, or before the whole message is written, are not the next forward's

And an answer that came while a part of the body was still here let the rest flow on after the invocation had gone elsewhere. The fixture whose clock stands still has lines that have rested; the rest itself is tested on real sockets. Seen: forced on real sockets: without the change the job runs twice in both, with it once.

--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -73,6 +73,11 @@
         call, self.call = self.call, None
         if call is None:
             return self.abort()      # an answer to nothing: what follows could be taken for another's
+        if self.unsent() and not call.over:
+            # To an earlier message, or before this one was whole there; on this line the rest would still
+            # reach it, as a forward that counts.
+            self.abort()
+            return call.end(UNSENT)
         if self.parser.keep and not call.over:
             self.endpoint.rest(self)
         else:
@@ -126,6 +131,8 @@
             rested = now - line.since
             if rested >= self.pool.usable:
                 break
+            if rested < self.pool.wary:
+                continue      # an answer told twice would be taken for this message's
             self.idle.remove(line)
             if not line.transport.is_closing():
                 line.carry(call)
@@ -194,6 +201,9 @@
 
     def tune(self, keep, connect):
         self.keep, self.connect, self.usable = keep, connect, min(self.usable, keep)
+        # A second answer comes some milliseconds after the first, if any: slower than what a far executor
+        # takes, and the settings say that only by what a connection may take.
+        self.wary = connect // 10
 
     def share(self, with_another):
         """Two processes of one node hold no more lines than one may."""
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -4,6 +4,7 @@
 import pytest
 from crossing import Agent, Client, Executor, Place, until
 
+UNRUN = b"HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -134,3 +135,52 @@
         return old.seen, new.seen
 
     assert asyncio.run(story()) == ([b"r0"], [b"r1"])
+
+
+def test_an_answer_before_the_whole_body_is_written_ends_the_line():
+    # "Never ran" was believed while the rest of the body still flowed there: the job ran twice.
+    async def story():
+        hasty, other, agent = await Executor().start(narrow=True), await Executor("s-2").start(), Agent()
+        await agent.start()
+        hasty.reads.clear()
+        async with Place(hasty.row(), agent=agent, gate=[hasty.address]) as place:
+            place.gate.narrow = True
+            place.gate.open.set()
+            client = Client(place.address).hand_in(body=b"x" * 65_536)
+            await until(lambda: [line for line in place.endpoint().lines if not line.whole], "a full kernel")
+            agent.say(2, hasty.row(status="Terminating"), other.row())
+            await until(lambda: place.node.watch.index == 2, "the list")
+            hasty.lines[0].write(UNRUN)
+            await until(lambda: other.seen, "the next forward")
+            hasty.reads.set()
+            await ended(place, client, name="s-2")
+            await until(lambda: not place.endpoint().lines, "the line's end")
+        for server in (hasty, other, agent):
+            server.server.close()
+        return hasty.seen, other.seen
+
+    assert asyncio.run(story()) == ([], [b"r1"])
+
+
+def test_an_answer_told_twice_is_not_taken_for_the_next_forwards():
+    # A late "never ran" of the one before: what the executor was about to run went again.
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row(), limits={
+                "maxForwards": 5, "connIdleMs": 600_000, "connectTimeoutMs": 60_000}) as place:
+            first = Client(place.address).hand_in("r0")
+            await until(lambda: executor.seen, "the first forward")
+            await ended(place, first, "r0")
+            executor.answers = lambda line, head: b"" if line.startswith(b"POST") else ACCEPTED
+            second = Client(place.address).hand_in("r1")
+            await until(lambda: len(executor.seen) == 2, "the second forward")
+            executor.lines[0].write(UNRUN)
+            spoilt = executor.lines[0].get_extra_info("peername")
+            await until(lambda: not [line for line in place.endpoint().lines if line.transport.get_extra_info(
+                "sockname") == spoilt] or len(executor.seen) > 2, "what comes of it")
+            executor.lines[-1].write(ACCEPTED)
+            await ended(place, second)
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r0", b"r1"]
