--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -142,7 +142,7 @@
             self.pool.turn.put(lambda now: call.end(UNSENT))
             return call
         self.pool.turn.gauges.count("connects")
-        # Counted from here on: of the calls of one turn none has begun to connect when the next asks for room.
+        # Counted from here on: of a turn's calls none has begun to connect when the next asks for room.
         self.pool.opening += 1
         call.opened, call.task = True, self.pool.loop.create_task(self.open(call))
         call.task.add_done_callback(self.pool.opened)
@@ -160,7 +160,7 @@
                 logger.warning("executor {executor}: no connection: {why}", event="connect-odd",
                                executor=self.name, why=repr(problem))
         call.task = None
-        # The list may have said more while it came up: another address or life, or that nothing new is wanted.
+        # The list may have said more meanwhile: another address or life, or that nothing new is wanted.
         fits = line and call.life == self.life() and not line.transport.is_closing()
         if fits and not call.over and (self.takes or not call.forwards):
             return line.carry(call)
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -16,7 +16,7 @@
 
 @pytest.mark.parametrize("says", ("draining", "gone", "moved", "restarted"))
 def test_what_the_list_says_while_a_connection_comes_up_is_looked_at_again(says):
-    # A connect may take longer than the drain grace; and what a former life gets, nobody answers.
+    # A connect may take longer than the drain grace; what a former life gets, nobody answers.
     async def story():
         old, new, agent = await Executor().start(), await Executor("s-2").start(), await Agent().start()
         async with Place(old.row(), agent=agent, gate=[old.address]) as place:
@@ -26,7 +26,7 @@
                     "gone": [old.row(status="Gone"), new.row()],
                     "moved": [{**new.row(), "name": "s-1"}],
                     "restarted": [{**new.row(since_ms=5), "name": "s-1"}]}[says]
-            if says == "restarted":      # the same address again, as another process: nothing of the old goes on
+            if says == "restarted":      # the same address, as another process
                 then = [old.row(since_ms=5)]
             version = place.node.watch.index
             agent.say(2, *then)
