A line whose answer never ends is given up once its forward has ended

Cause: Desk.unheard looks only at forwards that are not done, and Desk.end left the call alone: after a call-back 'done' a 202 with an endless body kept its line, its descriptor and its place in the pool until the executor closed it. Change: at the end of a forward a call that still waits is dropped, no sooner than the wait in which a 202 is expected (a call-back may come before it). Seen: forced on real sockets; without the change the line is there after 20 s.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -148,6 +148,9 @@
     def end(self, now, flight, outcome, result=b"", free=None):
         owed = flight.owed
         flight.end()
+        if flight.call and not flight.call.over:
+            # A call-back may come before its 202; an answer that never ends would keep its line for good.
+            self.turn.at(max(now + 1, flight.call.since + self.probe_wait), lambda now: flight.call.drop())
         if outcome != ledger.OK:
             self.gauges.count(log.ENDS[outcome])
         if outcome == ledger.OK and owed.client:
