A call-back of an executor's former life does not end the forward to its next one

Cause: Flight.again compared endpoints, and an executor that left the list is swept and comes back as another: a late or repeated 'returned' of the forward before was believed of the one after it. Change: compared by name, by which call-backs are found. Seen: forced on real sockets (gone, swept, back, 'returned' of the first told late): without the change the second is told as never run and a third goes out beside it with no DELETE; with it DELETE goes first.

--- a/grebedyke/ledger/door.py
+++ b/grebedyke/ledger/door.py
@@ -20,7 +20,8 @@
     def __init__(self, owed, endpoint):
         self.owed, self.n, self.endpoint, self.call = owed, len(owed.flights), endpoint, None
         self.accepted = self.began = self.done = self.untold = False
-        self.again = any(f.endpoint is endpoint and not f.untold for f in owed.flights)
+        # By name: an executor that left the list and came back is another endpoint, with the same call-backs.
+        self.again = any(f.endpoint.name == endpoint.name and not f.untold for f in owed.flights)
         owed.flights.append(self)
         owed.open, endpoint.flights = owed.open + 1, endpoint.flights + 1
 
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -1,7 +1,7 @@
 """Ends of forwards that cross: call-backs, answers, DELETE, lives of an executor."""
 import asyncio
 
-from crossing import Client, Executor, Place, until
+from crossing import TERMS, Agent, Client, Executor, Place, until
 
 ENDLESS = b"HTTP/1.1 202 Accepted\r\nContent-Length: 1000\r\n\r\nand so"
 
@@ -23,3 +23,38 @@
         executor.server.close()
 
     asyncio.run(story())
+
+
+def test_a_late_word_of_a_former_life_does_not_end_the_forward_to_the_next():
+    # Back on the list after a sweep the executor was another one to the books: "returned" of the forward
+    # before was believed of this one, which ran, and a third went out beside it.
+    async def story():
+        executor, agent = await Executor().start(), await Agent().start()
+        executor.answers = lambda line, head: b""
+        keyed = {**TERMS["operations"][0], "idempotency": "keyed", "group": "all", "windowMs": 60_000,
+                 "latencyObjectiveMs": 7000}
+        other = executor.row(name="s-2")
+        async with Place(executor.row(), other, agent=agent, operations=[keyed]) as place:
+            place.desk.dispatcher.fleet.all["s-2"].shut = 2 ** 62      # what is held waits for it
+            client = Client(place.address).hand_in()
+            await until(lambda: executor.seen and agent.asked, "the forward")
+            agent.say(2, executor.row(status="Gone"))
+            await until(lambda: not place.endpoint().listed, "the list")
+            executor.lines[0].close()
+            await until(lambda: "s-1" not in place.pool.endpoints, "the sweep")
+            executor.answers = lambda line, head: b"HTTP/1.1 202 x\r\nContent-Length: 0\r\n\r\n"
+            agent.say(3, executor.row(since_ms=7))
+            await until(lambda: len(executor.seen) == 2, "the second forward")
+            flights = place.desk.owed[b"r1"].flights
+            await until(lambda: flights[1].accepted, "its 202")
+            await place.tell("returned")
+            await until(lambda: len(executor.seen) == 3, "the third forward")
+            deleted = executor.deleted[:]
+            await place.tell("done")
+            assert b" 200 " in await client.answer()
+            client.leave()
+        for server in (executor, agent):
+            server.server.close()
+        return deleted
+
+    assert asyncio.run(story()) == [b"r1"]
