A DELETE for which there is no line is tried again before the module hears of the cancel

Cause: Desk.give_up told the module whatever became of the DELETE: without room for a line it had not gone out, and the next forward stood beside one that nobody had given up (second copies are not allowed in most settings). Change: for a forward that the executor has taken, an unsent DELETE is tried again each connect limit until the forward is over; its wait no longer tells twice. Seen: forced on real sockets, no room for three tries: without the change the module hears at once.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -186,12 +186,22 @@
         The module hears of it once the executor has: the next forward could else be there before this one's
         end, as a second copy. An end that comes meanwhile counts.
         """
-        def heard(*_):
-            self.turn.put(self.given_up, flight, outcome)
+        def heard(how=None, *_):
+            if how == UNSENT and flight.accepted and not flight.done:
+                # It runs there, and nobody has given it up yet: for want of a line, or no connection.
+                self.turn.after(self.probe_wait // 2,
+                                lambda now: flight.done or self.give_up(flight, outcome))
+            else:
+                self.turn.put(self.given_up, flight, outcome)
+
+        def silent(now):
+            if not call.over:
+                call.drop()
+                heard()
 
         if flight.accepted or flight.call.over:
             call = flight.endpoint.call(b"DELETE", b"/jobs/" + flight.owed.id, (), b"", heard)
-            self.turn.after(self.probe_wait, lambda now: (call.drop(), heard()))
+            self.turn.after(self.probe_wait, silent)
         else:
             flight.call.drop()
             heard()
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -58,3 +58,28 @@
         return deleted
 
     assert asyncio.run(story()) == [b"r1"]
+
+
+def test_a_delete_for_which_there_is_no_line_is_tried_again_before_the_module_hears():
+    # It heard of the cancel at once: the next forward was there beside one that nobody had given up.
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row(), limits={
+                "maxForwards": 5, "connIdleMs": 60_000, "connectTimeoutMs": 100}) as place:
+            client, pool = Client(place.address).hand_in(), place.pool
+            await until(lambda: executor.seen and place.desk.owed[b"r1"].flights[0].accepted, "the 202")
+            executor.lines[0].close()
+            await until(lambda: not pool.lines, "no line")
+            flight, asked, room = place.desk.owed[b"r1"].flights[0], [], pool.room
+            pool.room = lambda: asked.append(1)
+            place.desk.do(place.turn.clock(), ("cancel", b"r1", 0))
+            await until(lambda: len(asked) > 2, "three tries")
+            assert not flight.done and not executor.deleted
+            pool.room = room
+            await until(lambda: flight.done, "that it is given up")
+            assert executor.deleted == [b"r1"]
+            await client.answer()
+            client.leave()
+        executor.server.close()
+
+    asyncio.run(story())
