A watch asks first for what the agent has, in time for the drain grace, and a start waits for it

Cause: what the agent has counts as told from a process's first moment, but the node sent by the file's list until a call that waits 2 s had its answer; and a call that was silent since before an outage was given up after 3.5 s, though what the agent gets at discovery's return counts at once (drain grace 2 s at the usual site, 0.05 s and up elsewhere). A connect refused by the resolver was no failure at all. Change: the first call and those after a failure wait for nothing; their silence and the pause before the next come from the drain grace, so that two silent calls fit into 6 s; a start listens after the agent's first word or 0.3 s.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -26,8 +26,13 @@
     desk = (int(limits["maxForwards"]), int(limits["maxOpen"]),
             b"/alive" if conf["telemetry"]["how"] == "off" else b"/metrics/load", 2 * connect, 4 * tick, tick)
     door = {row["name"]: tenths(row["clientTimeoutMs"]) for row in conf["operations"]}, longest + SECOND
-    # A push site's watch is kept up without asking anyone; elsewhere the module says when.
-    return pool, desk, door, SECOND // 2 if conf["registryMode"] == "push" else 0
+    # A push site's watch is kept up without asking anyone; elsewhere the module says when. What the agent
+    # gets at discovery's return counts as told at once: a call that is silent since before is given up, and
+    # begun anew, in time for the drain grace of the settings.
+    drain = max(tenths(conf["rules"]["drainGraceMs"]), SECOND // 5)
+    push = conf["registryMode"] == "push"
+    watch = min(SECOND, drain // 2) if push else SECOND, min(SECOND // 2, drain // 4) if push else 0
+    return pool, desk, door, watch
 
 
 def longest_of(conf):
@@ -48,7 +53,7 @@
     """
     conf, soft = said["settings"], resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(said["limits"]["sockets"]), soft if soft > 0 else 1 << 20)
-    for_pool, for_desk, (operations, patience), again = parts_of(conf)
+    for_pool, for_desk, (operations, patience), for_watch = parts_of(conf)
     dispatcher = open_dispatcher(said["seed"], conf)
     gauges = Gauges()
     turn = Turn(loop, gauges)
@@ -61,8 +66,8 @@
                 patience)
     # Short waits: what an agent has counts as told 2 s after the wait, and one that fell silent is asked anew
     # before that.
-    watch = desk.watch = Watch(loop, turn, *said["discovery"], said["known"].get("index"), 2 * SECOND, SECOND,
-                               again, desk.listed, desk.unlisted)
+    watch = desk.watch = Watch(loop, turn, *said["discovery"], said["known"].get("index"), 2 * SECOND,
+                               *for_watch, desk.listed, desk.unlisted)
     peers = desk.peers = Peers(loop, turn, desk.heard)
     turn.decide, turn.carry = dispatcher.decide, desk.do
     gauges.levels = partial(levels, turn, dispatcher)
@@ -70,7 +75,7 @@
     def renew(said):
         """Whole, or a fault before anything has changed; what it gives is then done in one turn."""
         conf = said["settings"]
-        fresh, (for_pool, for_desk, for_door, again) = open_dispatcher(said["seed"], conf), parts_of(conf)
+        fresh, (for_pool, for_desk, for_door, for_watch) = open_dispatcher(said["seed"], conf), parts_of(conf)
 
         def in_force(now):
             switch(now, dispatcher, fresh)
@@ -79,7 +84,7 @@
             door.tune(*for_door)
             node.longest = longest_of(conf)
             peers.move(said["peers"], int(conf["me"]))
-            watch.tune(again)
+            watch.tune(*for_watch)
         return in_force
 
     def books():
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 import time
+from contextlib import suppress
 
 from loguru import logger
 
@@ -25,6 +26,8 @@
 # The node is killed no sooner than 3 s, or the longest client timeout, and 0.7 s after SIGTERM: what is owed
 # is answered before.
 LAST, SPARE = 3 * SECOND, SECOND * 35 // 100
+# So long a start waits for the agent's first word: it is on this machine and answers at once, or not at all.
+FIRST = 0.3
 # Until so long before the end clients are served on the connections that they have: a node's clients may have
 # no other, and no successor starts before the kill.
 WIND = SECOND * 4 // 10
@@ -66,6 +69,10 @@
             # Before all else that may take its time: "not ready" is an answer too.
             await self.console.listen(self.loop, *self.said["console"])
         self.peers.move(self.said["peers"], int(self.said["settings"]["me"]))
+        if self.watch.again:
+            # What the agent has counts as told from the first moment on, whatever the file's list says.
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.watch.first.wait(), FIRST)
         if self.peers.task:
             await self.peers.task
             if not (self.peers.transport or self.handover.old):
--- a/grebedyke/wire/discovery.py
+++ b/grebedyke/wire/discovery.py
@@ -1,4 +1,6 @@
 """Follows the list of executors: one watch after the other on one connection."""
+import asyncio
+
 import orjson
 from loguru import logger
 
@@ -71,6 +73,9 @@
     """`told(whole, entries)` and `failed()` become inputs of the next turn.
 
     Where discovery pushes (`again` > 0) a failed watch is begun anew after that time; else when told to.
+    There the first call, and those after a failure, wait for nothing: the agent says at once what it has,
+    which counts as told from a process's first moment and from discovery's return on. `first` is set with
+    the first answer or failure.
     """
 
     def __init__(self, loop, turn, host, port, index, wait, grace, again, told, failed):
@@ -78,11 +83,12 @@
         self.wait, self.grace, self.again, self.told, self.failed = wait, grace, again, told, failed
         self.agent, self.task, self.serial = None, None, 0
         self.asking = self.down = self.over = False
+        self.anew, self.first = True, asyncio.Event()
 
-    def tune(self, again):
+    def tune(self, grace, again):
         """Pushed from now on, or asked for when told to."""
         begins = again and not self.again
-        self.again = again
+        self.grace, self.again = grace, again
         if begins:
             self.ask()
 
@@ -92,18 +98,23 @@
         self.asking, self.serial, self.asked = True, self.serial + 1, self.turn.clock()
         # Silence is how an outage shows: the watch ends some time after its wait is over. A whole list waits
         # for nothing.
-        wait = self.wait if self.index is not None else 0
-        self.turn.after(wait + self.grace, self.silent, self.serial)
+        self.turn.after(self.waits() + self.grace, self.silent, self.serial)
         if self.agent:
             self.write()
         else:
             self.task = self.loop.create_task(self.open(self.address, self.serial))
 
+    def waits(self):
+        return 0 if self.index is None or self.anew and self.again else self.wait
+
     async def open(self, address, serial):
+        agent = None
         try:
             _, agent = await self.loop.create_connection(lambda: Agent(self), *address)
-        except OSError:
-            agent = None
+        except Exception as problem:
+            # A name that no resolver takes is no OSError.
+            if not isinstance(problem, OSError):
+                logger.warning("discovery: no connection: {why}", event="list-odd", why=repr(problem))
         if serial != self.serial or not self.asking:
             if agent:
                 agent.close()      # the watch has moved on, or is over
@@ -120,7 +131,7 @@
         """
         if (host, port) == self.address or self.over:
             return
-        self.address, self.index, self.asking = (host, port), None, False
+        self.address, self.index, self.asking, self.anew = (host, port), None, False, True
         agent, self.agent = self.agent, None
         if agent:
             agent.close()
@@ -132,7 +143,7 @@
         # A whole list is asked for by a call without a version only where nothing was known at start.
         target = b"/discovery/hosts"
         if self.index is not None:
-            target += b"?after=%d&wait_ms=%d" % (self.index, self.wait // 10)
+            target += b"?after=%d&wait_ms=%d" % (self.index, self.waits() // 10)
         self.turn.gauges.count("lists")
         self.agent.send(http.request(b"GET", target, b"%s:%d" % (self.address[0].encode(), self.address[1])))
 
@@ -143,7 +154,7 @@
             raise ValueError(f"status {status}")
         listing = orjson.loads(body)
         version, rows = int(listing["index"]), entries(listing)
-        self.asking = False
+        self.asking = self.anew = False
         if self.index is not None and version < self.index:
             # Of a copy that lags, or a discovery that began anew: changes would be applied to another list.
             logger.warning("discovery: version {version} after {before}, the whole list is asked for",
@@ -156,6 +167,7 @@
             self.down = False
         if listing.get("snapshot") or rows:
             self.turn.put(self.told, bool(listing.get("snapshot")), rows)
+        self.first.set()
         if not agent.parser.keep:
             self.agent = None
             agent.close()
@@ -181,7 +193,8 @@
                 self.fail()
 
     def fail(self):
-        self.asking = False
+        self.asking, self.anew = False, True
+        self.first.set()
         if not self.down and not self.over:
             logger.warning("discovery does not answer; the last list, version {version}, stays in force",
                            event="list-down", version=self.index)
