SIGHUP before the program has begun does not end it

Cause: SIGHUP was ignored only once the imports were done; the interpreter's start and the imports take tenths of a second, in which a reload told to all nodes ends one that is just starting: a crash. Change: `run` ignores it in the shell before exec, which holds over exec until the node's own handler stands; a node started otherwise ignores it before its imports. Seen: SIGHUP forced right after the exec ends the program without the change.

--- a/Makefile
+++ b/Makefile
@@ -22,4 +22,4 @@
 	$(PYTHON) -m pytest
 
 run: build
-	exec $(PYTHON) -m grebedyke
+	trap '' HUP; exec $(PYTHON) -m grebedyke
--- a/grebedyke/__main__.py
+++ b/grebedyke/__main__.py
@@ -2,12 +2,18 @@
 
 With a command's name behind it, that command (grebedyke/commands); a plain node imports nothing of those.
 """
-import argparse
-import os
+import signal
 import sys
 
-from grebedyke.service import log
-from grebedyke.service.start import node_of
+if len(sys.argv) < 2 or sys.argv[1].startswith("-"):
+    # Before the imports, which take tenths of a second: a reload told in them would end the node.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import argparse  # noqa: E402
+import os  # noqa: E402
+
+from grebedyke.service import log  # noqa: E402
+from grebedyke.service.start import node_of  # noqa: E402
 
 
 def main():
