Names of any customer, control bytes in a target, and times that a reload made shorter

Cause: the door read path and headers as Latin-1 and knew no percent signs, so an operation or tenant whose name is not ASCII was never found (404; tenants never over their share); console calls likewise. A target could hold a bare line feed or NUL, which goes into a line of the executor's. After a reload that shortens a client timeout those who go on with the old one got 400, an error. Change: names as UTF-8, Latin-1 or with percent signs; control bytes in a target are 400; the longest time ever in force is taken, and the invocation answered within the one in force now.

--- a/grebedyke/service/console.py
+++ b/grebedyke/service/console.py
@@ -88,7 +88,7 @@
         if method != allowed.encode():
             caller.answer(405, f"this call is a {allowed}", f"Allow: {allowed}\r\n")
         elif hand:
-            self.turn.put(self.rule, caller, unquote_to_bytes(name).decode("latin-1"), BY_HAND[word])
+            self.turn.put(self.rule, caller, http.text(unquote_to_bytes(name)), BY_HAND[word])
         else:
             caller.answer(*(200, "ready") if self.ready() else (503, "not ready"))
 
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -1,5 +1,6 @@
 """The door: connections of clients and the call-backs of executors, on one address."""
 import socket
+from urllib.parse import unquote_to_bytes
 
 import orjson
 from loguru import logger
@@ -20,6 +21,7 @@
 BREATH = 200
 # What may stand in an id: it also goes into a target and a header line of its own.
 PLAIN = frozenset(b"0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-._~")
+CONTROL = bytes(range(33)) + b"\x7f"
 ONCE = (b"x-request-id", b"x-timeout-ms", b"x-priority-class", b"idempotency-key")
 
 
@@ -127,7 +129,7 @@
 
     def __init__(self, turn, operations, take, news, leave, most, share, patience):
         self.turn, self.take, self.news, self.leave = turn, take, news, leave
-        self.most, self.share = most, share
+        self.most, self.share, self.allowed = most, share, {}
         self.tune(operations, patience)
         # Of the clients, longest first: those between two messages that were good, those that never were, and
         # those with a message that is not whole yet.
@@ -136,8 +138,17 @@
         self.heir = None      # takes a client that is at rest to the process that goes on with it
 
     def tune(self, operations, patience):
+        """operations: each one's client timeout by name, in tenths of a millisecond."""
+        # Clients go on with the time that was in force when they began, after it was made shorter.
+        self.allowed = {**self.allowed, **{
+            name: max(time, self.allowed.get(name, 0)) for name, time in operations.items()}}
         self.operations, self.patience = operations, patience
 
+    def named(self, said):
+        """An operation as a path or header has it: as the settings do in UTF-8, or with percent signs."""
+        name = http.text(said)
+        return name if name in self.operations or b"%" not in said else http.text(unquote_to_bytes(said))
+
     async def listen(self, loop, host, port, sock=None):
         """`sock`: another process listens there already, and both take connections out of its one queue."""
         if sock is None:
@@ -240,7 +251,7 @@
 
     def message(self, client, method, target, headers, body):
         path = target.partition(b"?")[0]
-        operation = path[1:].partition(b"/")[0].decode("latin-1")
+        operation = self.named(path[1:].partition(b"/")[0])
         if path == NEWS:
             allowed, client.caller = b"POST", True
         else:
@@ -274,11 +285,14 @@
 
     def handed_in(self, client, operation, method, target, headers, body):
         id, wait = headers.get(b"x-request-id", b""), headers.get(b"x-timeout-ms", b"")
-        named = headers.get(b"x-priority-class", operation.encode("latin-1")).decode("latin-1")
+        named = headers.get(b"x-priority-class")
+        named = operation if named is None else self.named(named)
         # A client timeout beyond its operation's would pass for the one by which repeats are known.
         if not (id and len(id) <= 128 and PLAIN.issuperset(id) and wait.isdigit() and len(wait) < 10
-                and 0 < int(wait) * 10 <= self.operations[operation] and named == operation):
+                and 0 < int(wait) * 10 <= self.allowed[operation] and named == operation):
             raise http.Bad(400, "no usable X-Request-ID, X-Timeout-Ms or X-Priority-Class")
+        if len(target.translate(None, CONTROL)) < len(target):
+            raise http.Bad(400, "control bytes in the target")      # it goes into a line of the executor's
         cost, extras = headers.get(b"x-cost", b"0"), dict(
             part.partition(b"=")[::2] for part in headers.get(b"x-attrs", b"").replace(b" ", b"").split(b","))
         try:
@@ -291,9 +305,10 @@
             self.turn.gauges.count("crowded")
             return client.reply(503)      # throttled, since it never went out; a close would lose it
         self.known(client)
-        tenant = headers.get(b"x-tenant-id", b"").decode("latin-1") or None
+        tenant = http.text(headers.get(b"x-tenant-id", b"")) or None
         line = method, target, headers.get(b"idempotency-key")
-        self.take(client, id, named, tenant, int(wait) * 10, hint, slots, line, body)
+        wait = min(int(wait) * 10, self.operations[operation])
+        self.take(client, id, named, tenant, wait, hint, slots, line, body)
 
     def stop(self):
         self.stopping = True
--- a/grebedyke/wire/http.py
+++ b/grebedyke/wire/http.py
@@ -180,6 +180,18 @@
         return True if not line else None
 
 
+def text(said):
+    """Bytes of a path or header that stand for a name of the settings.
+
+    >>> text("Mátra".encode()), text("Mátra".encode("latin-1")) == "Mátra", text(b"op")
+    ('Mátra', True, 'op')
+    """
+    try:
+        return said.decode()
+    except UnicodeDecodeError:
+        return said.decode("latin-1")
+
+
 def request(method, target, host, headers=(), length=None):
     lines = [b"%s %s HTTP/1.1\r\nHost: %s\r\n" % (method, target, host)]
     lines += [b"%s: %s\r\n" % pair for pair in headers]
