A reload with a longer tick does not send again beside a forward whose time is over

Cause: Desk.overdue ends a forward at once since there is no time for another; the module's own last moment was reckoned with the tick at the taking, so after a reload from 2 to 20 ms ticks there was time for one, beside a forward that its executor did not know to be given up. Change: at a switch what is open goes by the new tick. Seen: without the change the module forwards again.

--- a/grebedyke/service/switch.py
+++ b/grebedyke/service/switch.py
@@ -20,6 +20,10 @@
 def switch(now, old, new):
     """`new` was built of the new terms and has heard nothing yet; it is used up."""
     fleet = old.fleet
+    for inv in old.invs.values():
+        # A forward's time ends by the new tick: what was taken by a shorter one would still go again then,
+        # beside a forward that its executor does not know to be given up.
+        inv.latest = min(inv.latest, inv.due - 4 * new.tick)
     moved = any(getattr(fleet, name) != getattr(new.fleet, name) for name in ("split", "nodes", "me"))
     for name, op in new.operations.items():
         if before := old.operations.get(name):
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -1,6 +1,12 @@
 """Settings of other customers: names, times that change, ticks."""
+import orjson
 import pytest
-from helpers import HAND_IN, NOW, floor, say
+from crossing import TERMS
+from helpers import HAND_IN, NOW, floor, pull, say
+
+from grebedyke.ledger import TIMEOUT
+from grebedyke.service import configuration
+from grebedyke.service.switch import switch
 
 
 @pytest.mark.parametrize("name, path, header", (
@@ -41,3 +47,16 @@
         assert [x[4] for x in node.told.heard if x[0] == "taken"] == (
             [NOW + min(wait * 10, 20_000) - node.desk.margin] if taken else []), wait
         assert client.transport.written.startswith(b"HTTP/1.1 400") == (not taken)
+
+
+def test_a_longer_tick_does_not_send_again_beside_a_forward_whose_time_is_over():
+    terms = {**TERMS, "tickMs": 2, "operations": [{**TERMS["operations"][0], "idempotency": "safe",
+                                                    "latencyObjectiveMs": 20_000}]}
+    d = configuration.open_dispatcher("1", configuration.terms(orjson.loads(orjson.dumps(terms))))
+    d.listed(10, True, [(f"s-{i}", "a", "m", 0, "healthy", 0, 1) for i in range(3)])
+    d.taken(100, b"r1", "op", None, 80_100, 0, 1)
+    (_, id, first, _), = pull(d, 100, "forward")
+    switch(200, d, configuration.open_dispatcher("1", configuration.terms({**terms, "tickMs": 20})))
+    over = 80_100 - 3 * 200
+    d.ended(over, id, 0, TIMEOUT, False)
+    assert [x[0] for x in pull(d, over)] == ["throttle"]
