An old process whose heir dies at the handover listens again

Cause: Node.give_over closes the listener for the heir's sake; when the heir died right then, settle went on without one: executors' call-backs met a closed port, and what was owed was errored at the end of its time. Change: a stop that goes on alone without a listener opens it again. Seen: forced with two nodes of one folder on real sockets; without the change no listener comes back. A client that left while its connection was handed over is not sent on by the heir (no mend needed).

--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -192,12 +192,21 @@
         """Looked at in short steps: the last answer, or the last client's close, may come at any time."""
         if self.handover.ready:
             return self.give_over(now, last)
+        if self.door.deaf():
+            # The heir has died with the listener: what is owed here still waits for call-backs.
+            self.loop.create_task(self.relisten())
         if now >= last - WIND:
             self.door.wind_up()
         if now <= last and (self.door.served() or any(owed.client for owed in self.desk.owed.values())):
             return self.turn.at(now + SECOND // 50, self.settle, last)
         self.finish()
 
+    async def relisten(self):
+        try:
+            await self.door.listen(self.loop, *self.said["listen"])
+        except OSError as problem:
+            logger.error("cannot listen again: {why}", event="cannot-serve", why=str(problem))
+
     def finish(self):
         # What still comes until the loop has ended is told to go elsewhere: it was taken, and dropped.
         self.desk.latest = self.turn.clock()
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -164,8 +164,9 @@
                 raise
         # The backlog holds a burst of connections while a turn runs.
         self.server = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
+        if not self.up:
+            self.look(self.turn.clock())
         self.up, self.loop = True, loop
-        self.look(self.turn.clock())
 
     def descriptor(self):
         return self.server.sockets[0].fileno()
@@ -174,6 +175,12 @@
         """No more accepted here; whoever shares the queue takes what is in it."""
         self.server.close()
 
+    def deaf(self):
+        """Told once: who is told listens again."""
+        deaf = self.server is not None and not self.server.is_serving()
+        self.server = None if deaf else self.server
+        return deaf
+
     async def adopt(self, fd, good, caller):
         """A connection that another process has accepted, and that is between two messages."""
         client = Client(self)
--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -176,7 +176,9 @@
 class Place:
     """A node that serves on real sockets; `async with` ends it and looks at what it leaves behind."""
 
-    def __init__(self, *rows, agent=None, read_again=None, gate=(), wait=True, **more):
+    def __init__(self, *rows, agent=None, read_again=None, gate=(), wait=True, folder=None, listen=None,
+                 **more):
+        self.folder, self.listen = folder, listen
         self.rows, self.agent, self.read_again, self.more, self.wait = rows, agent, read_again, more, wait
         self.gated = gate
 
@@ -186,9 +188,9 @@
         self.gate = Gate(loop, *self.gated) if self.gated else None
         settings = {**TERMS, **self.more}
         said = checked(NODE, {
-            "name": "n1", "listen": "127.0.0.1:%d" % free_port(),
+            "name": "n1", "listen": self.listen or "127.0.0.1:%d" % free_port(),
             "discovery": self.agent.address if self.agent else "127.0.0.1:%d" % free_port(),
-            "known": {"index": 1, "endpoints": list(self.rows)}, "settings": settings, "folder": None})
+            "known": {"index": 1, "endpoints": list(self.rows)}, "settings": settings, "folder": self.folder})
         said["settings"] = configuration.terms(said["settings"])
         self.said, self.address = said, said["listen"]
         self.node = assemble(loop, said, self.read_again or (lambda: said))
--- /dev/null
+++ b/tests/test_takeover.py
@@ -0,0 +1,66 @@
+"""Two processes of one node, one of which goes at the wrong moment."""
+import asyncio
+
+from crossing import Client, Executor, Place, until
+
+
+def test_an_heir_that_dies_at_once_leaves_the_old_process_with_its_call_backs(tmp_path):
+    # The old one had closed its listener for the heir's sake: no call-back reached it, and what it owed was
+    # answered as errored at the end of its time.
+    async def story():
+        executor = await Executor().start()
+        old = Place(executor.row(), folder=str(tmp_path))
+        async with old:
+            client = Client(old.address).hand_in()
+            await until(lambda: executor.seen, "the forward")
+            heir = Place(executor.row(), folder=str(tmp_path), listen="%s:%d" % old.address)
+            await heir.__aenter__()
+            await until(lambda: old.node.handover.ready, "the heir")
+            old.node.stop()
+            await until(lambda: not (old.door.server and old.door.server.is_serving()), "the queue's handing")
+            heir.node.handover.old.close()      # as at its death: the line, the listener and what it has
+            heir.door.shut()
+            heir.serving.cancel()
+            heir.node.handover.close()
+            heir.node.watch.close()
+            await until(lambda: old.door.server and old.door.server.is_serving(), "a listener again")
+            await old.tell("done")
+            answer = await client.answer()
+            client.leave()
+            await asyncio.wait_for(old.serving, 20)
+        executor.server.close()
+        return answer
+
+    assert b" 200 " in asyncio.run(story())
+
+
+def test_a_client_that_left_in_the_handover_is_no_client_of_the_heir(tmp_path):
+    async def story():
+        executor = await Executor().start()
+        old = Place(executor.row(), folder=str(tmp_path))
+        async with old:
+            client = Client(old.address).hand_in()
+            await until(lambda: executor.seen, "the forward")
+            await old.tell("done")
+            assert b" 200 " in await client.answer()
+            async with Place(executor.row(), folder=str(tmp_path), listen="%s:%d" % old.address,
+                             gate=[executor.address]) as heir:
+                await until(lambda: old.node.handover.ready, "the heir")
+                adopt, adopted = heir.door.adopt, []
+
+                async def adopting(**what):
+                    client.hand_in("r2").leave()      # with the kernel before the heir has the connection
+                    adopted.append(await adopt(**what))
+
+                take, taken = heir.door.take, []
+                heir.door.take = lambda *what: (taken.append(what[1]), take(*what))
+                heir.door.adopt = adopting
+                old.node.stop()
+                await until(lambda: adopted, "the connection handed over")
+                await until(lambda: taken and not heir.door.clients, "its close")
+                heir.gate.open.set()
+            await asyncio.wait_for(old.serving, 20)
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r1"]
