Accepting goes on at the limit of descriptors: a few in a pass, none beyond, silent ones make room

Cause: asyncio's server takes up to its backlog (1,024) in one pass, before a word of any is read, so Door.opened could make room for none of them; at the limit it accepts nobody for a second, and a second again. What a client had sent to the machine meanwhile was never read. Change: the door accepts by itself, 16 in a pass, none beyond clients' share and a few that are being turned away; at that mark it looks again after the time in which a silent one is passed over, closes such in a turn (all that came is read by then), and goes on.

--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -48,7 +48,7 @@
         self.said, self.longest, self.read_again, self.renew = said, longest, read_again, renew
         self.phase, self.stopped = Phase.STARTING, loop.create_future()
         self.also = None      # starts and ends with this node: start(inherited), close()
-        self.told_to_end = False
+        self.told_to_end = self.listening = False
         # The list has Unix times, the module the monotonic clock's.
         desk.shift = turn.clock() - time.time_ns() // 100_000
 
@@ -192,7 +192,8 @@
         """Looked at in short steps: the last answer, or the last client's close, may come at any time."""
         if self.handover.ready:
             return self.give_over(now, last)
-        if self.door.deaf():
+        if not (self.door.server or self.listening):
+            self.listening = True
             # The heir has died with the listener: what is owed here still waits for call-backs.
             self.loop.create_task(self.relisten())
         if now >= last - WIND:
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -11,6 +11,8 @@
 NEWS, UP = b"/_jobs/news", b"/up"
 # Short of descriptors, a message may take this long to become whole: an honest peer has written it by then.
 SLOW, UNREAD = 3_000, 300
+# So many connections are accepted in a pass; so many may be there beyond those that are turned away.
+AT_ONCE, SPARE = 16, 6
 # From its connecting on, who has not yet sent anything good is told so or closed within 3 s, trickling or
 # silent.
 GREETING, LOOK = 22_000, 2_500
@@ -135,6 +137,7 @@
         # those with a message that is not whole yet.
         self.clients, self.idle, self.strangers, self.unsaid, self.usual = {}, {}, {}, {}, {}
         self.server, self.stopping, self.ending, self.up = None, False, False, False
+        self.coming = 0      # accepted, and not set up yet
         self.heir = None      # takes a client that is at rest to the process that goes on with it
 
     def tune(self, operations, patience):
@@ -162,24 +165,70 @@
             except OSError:
                 sock.close()
                 raise
+        sock.setblocking(False)
         # The backlog holds a burst of connections while a turn runs.
-        self.server = await loop.create_server(lambda: Client(self), sock=sock, backlog=1024)
+        sock.listen(1024)
+        self.server, self.loop = sock, loop
+        loop.add_reader(sock, self.accept)
         if not self.up:
             self.look(self.turn.clock())
-        self.up, self.loop = True, loop
+        self.up = True
 
     def descriptor(self):
-        return self.server.sockets[0].fileno()
+        return self.server.fileno()
 
     def deafen(self):
         """No more accepted here; whoever shares the queue takes what is in it."""
-        self.server.close()
+        if self.server:
+            self.loop.remove_reader(self.server)
+            self.server.close()
+            self.server = None
+
+    def accept(self):
+        """A few in a pass, and none beyond what descriptors there are: with the limit met, accepting stops.
 
-    def deaf(self):
-        """Told once: who is told listens again."""
-        deaf = self.server is not None and not self.server.is_serving()
-        self.server = None if deaf else self.server
-        return deaf
+        asyncio's own server takes a whole crowd in one pass, before a word of any is read, and at the limit
+        accepts nobody for a second: what clients had sent meanwhile was lost.
+        """
+        for _ in range(AT_ONCE):
+            # Some beyond those that are turned away, whose connections are not closed yet.
+            if len(self.clients) + self.coming >= self.most + self.most // 16 + SPARE:
+                return self.pause()
+            try:
+                sock, _ = self.server.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            except OSError as problem:
+                if self.turn.gauges.few("faults"):
+                    logger.error("cannot accept: {why}", event="loop-fault", why=problem.strerror)
+                return self.pause()
+            sock.setblocking(False)
+            self.coming += 1
+            self.loop.create_task(self.receive(sock))
+
+    async def receive(self, sock):
+        client = Client(self)
+        try:
+            await self.loop.connect_accepted_socket(lambda: client, sock)
+        except OSError:
+            sock.close()
+        finally:
+            self.coming -= 1
+        if client in self.unsaid:
+            self.unsaid[client] = self.turn.clock()      # read from here on
+
+    def pause(self):
+        self.loop.remove_reader(self.server)
+        self.turn.after(UNREAD, self.resume)
+
+    def resume(self, now):
+        """In a turn: what a client had sent before it is read."""
+        if not self.server:
+            return
+        room = [client for client, since in self.unsaid.items() if now - since > UNREAD and not client.good]
+        for client in ([*self.strangers, *room] or [*self.idle][:1])[:AT_ONCE]:
+            self.end(client)
+        self.loop.add_reader(self.server, self.accept)
 
     async def adopt(self, fd, good, caller):
         """A connection that another process has accepted, and that is between two messages."""
@@ -334,7 +383,6 @@
             client.close()
 
     def shut(self):
-        if self.server:
-            self.server.close()
+        self.deafen()
         for client in list(self.clients):
             client.close()
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -2,6 +2,7 @@
 import asyncio
 import os
 import re
+import resource
 import signal
 import subprocess
 import sys
@@ -14,13 +15,13 @@
 from grebedyke.service import node
 
 
-def program(tmp_path, said, shell=False, **more):
+def program(tmp_path, said, shell=False, preexec_fn=None, **more):
     file = tmp_path / "config.json"
     file.write_bytes(orjson.dumps(said))
     with open("deploy/balancer.toml") as deploy:
         run = re.search(r'^run = "(.*)"$', deploy.read(), re.M)[1].replace(".venv/bin/python", sys.executable)
     return subprocess.Popen(["/bin/sh", "-c", run] if shell else [sys.executable, "-m", "grebedyke"],
-                            stderr=subprocess.PIPE, text=True,
+                            stderr=subprocess.PIPE, text=True, preexec_fn=preexec_fn,
                             env={**os.environ, "BALANCER_CONFIG": str(file), **more}), file
 
 
@@ -104,8 +105,8 @@
                 await until(lambda: place.node.told_to_end, "the signal")
 
             place.door.listen = listening
+            await until(lambda: place.node.phase == node.Phase.STOPPING, "the stop")
             await until(lambda: executor.seen, "the forward")
-            assert place.node.phase == node.Phase.STOPPING
             await place.tell("done")
             answer = await clients[0].answer()
             clients[0].leave()
@@ -161,3 +162,34 @@
 
     answer, seen = asyncio.run(story())
     assert b" 503 " in answer and b"Connection: close" in answer and not seen
+
+
+def test_a_crowd_of_silent_connections_does_not_stop_accepting(tmp_path):
+    # They came while the node stood still, more than it has descriptors: asyncio's server met the limit, took
+    # nobody for a second and again, and a client that had sent its invocation was never read.
+    async def story():
+        executor = await Executor().start()
+        said = told(known={"index": 1, "endpoints": [executor.row()]}, limits={"sockets": 256})
+        limit = resource.RLIMIT_NOFILE, (256, 256)
+        work, _ = program(tmp_path, said, preexec_fn=lambda: resource.setrlimit(*limit))
+        crowd, address = [], ("127.0.0.1", int(said["listen"].rpartition(":")[2]))
+        try:
+            while "-> serving" not in await asyncio.to_thread(work.stderr.readline):
+                pass
+            work.send_signal(signal.SIGSTOP)
+            crowd += [Client(address) for _ in range(300)]
+            crowd.append(Client(address).hand_in())
+            work.send_signal(signal.SIGCONT)
+            await until(lambda: executor.seen, "the forward")
+            work.send_signal(signal.SIGTERM)
+            for client in crowd:
+                client.leave()
+            assert await asyncio.to_thread(work.wait, 20) == 0
+            return [line for line in work.stderr if "loop-fault" in line or "accept" in line]
+        finally:
+            work.kill()
+            work.wait()
+            work.stderr.close()
+            executor.server.close()
+
+    assert asyncio.run(story()) == []
