A client that ends its side has left, also where its connection's end waits for unread bytes

Cause: Client.eof_received closed the transport, and the module heard at connection_lost, which waits for what is still to be written to a peer that reads nothing. Change: told with the EOF itself. Seen: forced on real sockets with 900 KB unread: without the change the invocation is answered at the end of its time instead.

--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -44,7 +44,10 @@
         self.door.closed(self)
 
     def eof_received(self):
-        return False      # the peer has gone, also where an answer is owed
+        # The peer has gone, also where an answer is owed; with bytes for it that it does not read, the
+        # connection's own end may be long in coming.
+        self.door.left(self)
+        return False
 
     def spill(self):
         """More than the ring holds behind an open invocation is thrown away; its answer ends the connection.
@@ -284,6 +287,9 @@
     def closed(self, client):
         for held in (self.clients, self.idle, self.strangers, self.unsaid, self.usual):
             held.pop(client, None)
+        self.left(client)
+
+    def left(self, client):
         if client.owed is not None:
             self.turn.put(self.leave, client.owed, client)
             client.owed = None
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -1,5 +1,6 @@
 """A client that leaves while its invocation waits: it is not sent on any more, wherever it waits."""
 import asyncio
+import socket
 import time
 
 import pytest
@@ -201,3 +202,34 @@
         return executor.seen
 
     assert asyncio.run(story()) == ([] if opens else [b"r0"]) + [b"r2"]
+
+
+def test_a_client_that_ends_its_side_and_reads_nothing_has_left():
+    # An answer to an earlier message of its was still to be written: the connection's end waited for that.
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row(), gate=[executor.address]) as place:
+            client = Client(place.address)
+            client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            client.socket.sendall(b"GET /up HTTP/1.1\r\n\r\n")
+            await until(lambda: place.door.clients, "the connection")
+            inside = next(iter(place.door.clients))
+            inside.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            inside.transport.write(b"x" * 900_000)      # what it does not read
+            client.hand_in()
+            await waits_for_its_line(place, client)
+            client.socket.shutdown(socket.SHUT_WR)
+            replied, place.desk.reply = [], lambda now, owed, *what: replied.append(owed.id)
+            await until(lambda: gone(place) or replied, "that the client has left")
+            assert not replied and inside.transport.get_write_buffer_size()
+            del place.desk.reply
+            place.gate.open.set()
+            other = Client(place.address).hand_in("r2")
+            await until(lambda: executor.seen, "the other's forward")
+            await place.tell("done", "r2")
+            assert b" 200 " in await other.answer()
+            other.leave(), client.leave(reset=True)
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r2"]
