Steps before the due time leave room in short client timeouts

Change: on sockets, where a turn comes with what comes in, the node's tick is a fiftieth of the shortest client timeout where that is less.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -35,6 +35,16 @@
     return pool, desk, door, watch
 
 
+def paced(conf):
+    """The settings with a tick that leaves room in the shortest client timeout.
+
+    Each step before a due time takes a few ticks, nine in all: of 100 ms at ticks of 10 ms nothing was left.
+    On sockets a turn comes when something has come in: a tick is only what a step may be late by.
+    """
+    shortest = min(row["clientTimeoutMs"] for row in conf["operations"])
+    return {**conf, "tickMs": max(min(conf["tickMs"], shortest / 50), 0.1)}
+
+
 def longest_of(conf):
     return tenths(max(row["clientTimeoutMs"] for row in conf["operations"]))
 
@@ -51,7 +61,7 @@
 
     `clock`, `files`: others than the machine's own, for a node that is tried under faults.
     """
-    conf, soft = said["settings"], resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    conf, soft = paced(said["settings"]), resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = min(int(said["limits"]["sockets"]), soft if soft > 0 else 1 << 20)
     for_pool, for_desk, (operations, patience), for_watch = parts_of(conf)
     dispatcher = open_dispatcher(said["seed"], conf)
@@ -74,7 +84,7 @@
 
     def renew(said):
         """Whole, or a fault before anything has changed; what it gives is then done in one turn."""
-        conf = said["settings"]
+        conf = paced(said["settings"])
         fresh, (for_pool, for_desk, for_door, for_watch) = open_dispatcher(said["seed"], conf), parts_of(conf)
 
         def in_force(now):
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -6,6 +6,7 @@
 
 from grebedyke.ledger import TIMEOUT
 from grebedyke.service import configuration
+from grebedyke.service.assembly import paced, parts_of
 from grebedyke.service.switch import switch
 
 
@@ -60,3 +61,15 @@
     over = 80_100 - 3 * 200
     d.ended(over, id, 0, TIMEOUT, False)
     assert [x[0] for x in pull(d, over)] == ["throttle"]
+
+
+@pytest.mark.parametrize("tick, shortest, left", (
+    (10, 100, 80), (5, 5000, 4960), (2, 300, 284), (20, 60, 48)))
+def test_short_client_timeouts_leave_time_for_a_forward(tick, shortest, left):
+    # Steps of four ticks each before the due time ate 100 ms at ticks of 10 ms: nearly all was given up.
+    terms = paced(configuration.terms({**TERMS, "tickMs": tick, "operations": [
+        TERMS["operations"][0], {**TERMS["operations"][0], "name": "b", "clientTimeoutMs": shortest}]}))
+    _, desk, _, _ = parts_of(terms)
+    margin, step = desk[4:6]
+    assert shortest * 10 - margin - 4 * step >= left * 10 - 50, (margin, step)
+    assert step <= tick * 10
