--- a/tests/crossing.py
+++ b/tests/crossing.py
@@ -212,6 +212,17 @@
         assert b" 204 " in await client.answer()
         client.leave()
 
+    async def ended(self, client, id="r1", name="s-1"):
+        await self.tell("done", id, name)
+        assert b" 200 " in await client.answer()
+        client.leave()
+
+    async def serves_another(self, executor, id="r2"):
+        """The node goes on: an invocation of another client goes out and is answered."""
+        client = Client(self.address).hand_in(id)
+        await until(lambda: id.encode() in executor.seen, "the other's forward")
+        await self.ended(client, id, executor.name)
+
     async def settled(self):
         """Nothing is under way any more."""
         await until(lambda: not self.left_over(), f"rest: {self.left_over()}")
--- a/tests/test_forwards.py
+++ b/tests/test_forwards.py
@@ -16,9 +16,7 @@
             call = next(iter(place.endpoint().lines)).call
             place.desk.probe_wait = 300      # a 202 is no longer waited for once the forward is over
             assert call and not call.over
-            await place.tell("done")
-            assert b" 200 " in await client.answer()
-            client.leave()
+            await place.ended(client)
             await until(lambda: not place.endpoint().lines, "the line's end")
         executor.server.close()
 
@@ -50,9 +48,7 @@
             await place.tell("returned")
             await until(lambda: len(executor.seen) == 3, "the third forward")
             deleted = executor.deleted[:]
-            await place.tell("done")
-            assert b" 200 " in await client.answer()
-            client.leave()
+            await place.ended(client)
         for server in (executor, agent):
             server.server.close()
         return deleted
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -15,11 +15,7 @@
 
 async def one_before(place, executor):
     """So that an idle line is there, which carries at once."""
-    first = Client(place.address).hand_in("r0")
-    await until(lambda: executor.seen, "the first")
-    await place.tell("done", "r0")
-    assert b" 200 " in await first.answer()
-    first.leave()
+    await place.serves_another(executor, "r0")
     await until(lambda: not place.door.clients, "its close")
 
 
@@ -93,11 +89,7 @@
             answer = await client.answer()
             place.gate.open.set()
             client.leave()
-            other = Client(place.address).hand_in("r2")
-            await until(lambda: executor.seen, "the other's forward")
-            await place.tell("done", "r2")
-            assert b" 200 " in await other.answer()
-            other.leave()
+            await place.serves_another(executor)
         executor.server.close()
         return answer[9:12], executor.seen
 
@@ -117,11 +109,7 @@
             client.leave(reset)
             await until(lambda: gone(place), "that the client has left")
             place.gate.open.set()
-            other = Client(place.address).hand_in("r2")
-            await until(lambda: executor.seen, "the other's forward")
-            await place.tell("done", "r2")
-            assert b" 200 " in await other.answer()
-            other.leave()
+            await place.serves_another(executor)
         executor.server.close()
         return executor.seen
 
@@ -161,11 +149,7 @@
             client.hand_in().leave(reset)
             time.sleep(0.35)      # the stall itself
             await until(lambda: place.turn.gauges.counts["left"] or len(executor.seen) > 1, "its end")
-            other = Client(place.address).hand_in("r2")
-            await until(lambda: b"r2" in executor.seen, "the other's forward")
-            await place.tell("done", "r2")
-            assert b" 200 " in await other.answer()
-            other.leave()
+            await place.serves_another(executor)
         executor.server.close()
         return executor.seen
 
@@ -193,11 +177,7 @@
             place.desk.deeds["forward"] = forward_long
             client.hand_in()
             await until(lambda: long and gone(place), "that the client has left")
-            other = Client(place.address).hand_in("r2")
-            await until(lambda: b"r2" in executor.seen, "the other's forward")
-            await place.tell("done", "r2")
-            assert b" 200 " in await other.answer()
-            other.leave()
+            await place.serves_another(executor)
         executor.server.close()
         return executor.seen
 
@@ -224,11 +204,8 @@
             assert not replied and inside.transport.get_write_buffer_size()
             del place.desk.reply
             place.gate.open.set()
-            other = Client(place.address).hand_in("r2")
-            await until(lambda: executor.seen, "the other's forward")
-            await place.tell("done", "r2")
-            assert b" 200 " in await other.answer()
-            other.leave(), client.leave(reset=True)
+            await place.serves_another(executor)
+            client.leave(reset=True)
         executor.server.close()
         return executor.seen
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -8,12 +8,6 @@
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 
 
-async def ended(place, client, id="r1", name="s-1"):
-    await place.tell("done", id, name)
-    assert b" 200 " in await client.answer()
-    client.leave()
-
-
 @pytest.mark.parametrize("says", ("draining", "gone", "moved", "restarted"))
 def test_what_the_list_says_while_a_connection_comes_up_is_looked_at_again(says):
     # A connect may take longer than the drain grace; what a former life gets, nobody answers.
@@ -34,7 +28,7 @@
             place.gate.open.set()
             whom = old if says == "restarted" else new
             await until(lambda: whom.seen, "the forward")
-            await ended(place, client, name="s-2" if says in ("draining", "gone") else "s-1")
+            await place.ended(client, name="s-2" if says in ("draining", "gone") else "s-1")
         for server in (old, new, agent):
             server.server.close()
         return old.seen, new.seen, len(old.lines)
@@ -56,7 +50,7 @@
             place.gate.open.set()
             await until(lambda: other.seen or executor.seen, "the next forward")
             name = "s-2" if other.seen else "s-1"
-            await ended(place, client, name=name)
+            await place.ended(client, name=name)
         for server in (executor, other):
             server.server.close()
         return executor.seen + other.seen
@@ -73,7 +67,7 @@
             await until(lambda: place.turn.gauges.counts["unconnected"] and agent.asked, "the failed connect")
             agent.say(2, other.row())
             await until(lambda: other.seen, "the next forward")
-            await ended(place, client, name="s-2")
+            await place.ended(client, name="s-2")
         for server in (other, agent):
             server.server.close()
         return other.seen
@@ -124,12 +118,12 @@
             await until(lambda: place.node.watch.index == 2 and not place.turn.inbox, "the list")
             old.lines[0].write(ACCEPTED)
             await until(lambda: not place.endpoint().lines or place.endpoint().idle, "the answer")
-            await ended(place, first, "r0")
+            await place.ended(first, "r0")
             place.pool.wary = 0
             second = Client(place.address).hand_in("r1")
             await until(lambda: len(old.seen + new.seen) == 2, "the second forward")
             if new.seen:
-                await ended(place, second)
+                await place.ended(second)
         for server in (old, new, agent):
             server.server.close()
         return old.seen, new.seen
@@ -153,7 +147,7 @@
             hasty.lines[0].write(UNRUN)
             await until(lambda: other.seen, "the next forward")
             hasty.reads.set()
-            await ended(place, client, name="s-2")
+            await place.ended(client, name="s-2")
             await until(lambda: not place.endpoint().lines, "the line's end")
         for server in (hasty, other, agent):
             server.server.close()
@@ -172,7 +166,7 @@
             place.pool.wary = 60_000 if twice else 2_000      # this machine may be slow
             first = Client(place.address).hand_in("r0")
             await until(lambda: executor.seen, "the first forward")
-            await ended(place, first, "r0")
+            await place.ended(first, "r0")
             executor.answers = lambda line, head: b""
             second = Client(place.address).hand_in("r1")
             await until(lambda: len(executor.seen) == 2, "the second forward")
@@ -186,7 +180,7 @@
             else:
                 executor.answers = lambda line, head: ACCEPTED
                 await until(lambda: len(executor.seen) == 3, "the next forward")
-            await ended(place, second)
+            await place.ended(second)
         executor.server.close()
         return executor.seen
 
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -52,9 +52,7 @@
             await until(lambda: place.node.watch.index == 9 and not place.turn.inbox, "the list")
             client = Client(place.address).hand_in()
             await until(lambda: other.seen or executor.seen, "the forward")
-            await place.tell("done", name="s-2")
-            assert b" 200 " in await client.answer()
-            client.leave()
+            await place.ended(client, name="s-2")
         for server in (executor, other, agent):
             server.server.close()
         return executor.seen, other.seen, len(silent) or len(held)
@@ -88,9 +86,7 @@
             agent.say(2, executor.row(status="Terminating"), other.row())
             client = (await client).hand_in()
             await until(lambda: other.seen or executor.seen, "the forward")
-            await place.tell("done", name="s-2")
-            assert b" 200 " in await client.answer()
-            client.leave()
+            await place.ended(client, name="s-2")
         for server in (executor, other, agent):
             server.server.close()
         return executor.seen, other.seen, agent.asked[0]
@@ -114,9 +110,7 @@
             assert agent.asked and place.node.phase == node.Phase.SERVING
             client = Client(place.address).hand_in()
             await until(lambda: executor.seen, "the forward")
-            await place.tell("done")
-            assert b" 200 " in await client.answer()
-            client.leave()
+            await place.ended(client)
         for server in (executor, agent):
             server.server.close()
 
