Idle clients leave descriptors for discovery and executors; silent ones crowd nobody out

Need: idle clients may fill the descriptors while discovery is down; at its return the node hears of a drain in time and forwards still go out.

Cause: the shares of door, lines and console were fractions of all descriptors and came, with what the door accepts beyond its share, to more than there are below some 256; the watch's connect then met the limit. And a whole invocation that had connected in a crowd was turned away with 503 while the door was full of clients that said nothing, though its connection was there.

Change: 22 descriptors are kept from all shares (log, loop, listeners, watch, handover, a file, what the door takes beyond its share); with 1024 the door has 626 for 640. The 503 is given only where the door is full of clients that wait for an answer, and of executors.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -15,6 +15,11 @@
 from grebedyke.wire.executors import Pool
 from grebedyke.wire.peers import Peers
 
+# Descriptors that no share may draw on: log and loop (6), listeners, datagrams, the watch (2), handover, a
+# file, and what the door takes beyond its share (clients.SPARE). With shares of the whole, idle clients left
+# a node of 128 and fewer none to hear discovery with.
+KEPT = 22
+
 
 def parts_of(conf):
     """What each part is told of the settings, at the start and again when they change."""
@@ -69,10 +74,11 @@
     turn = Turn(loop, gauges)
     turn.clock = clock or turn.clock
     # To executors a line is taken for a forward's 202 only, from clients one for each invocation that
-    # waits; the rest is for log, loop, discovery and newcomers that are told to come back later.
-    pool = Pool(loop, turn, *for_pool, sockets // 4)
+    # waits; the rest is for newcomers that are told to come back later.
+    room = sockets - KEPT
+    pool = Pool(loop, turn, *for_pool, max(room // 4, 1))
     desk = Desk(dispatcher, turn, pool, gauges, *for_desk)
-    door = Door(turn, operations, desk.take, desk.news, desk.left, sockets * 5 // 8, sockets * 3 // 10,
+    door = Door(turn, operations, desk.take, desk.news, desk.left, room * 5 // 8, room * 3 // 10,
                 patience)
     # Short waits: what an agent has counts as told 2 s after the wait, and one that fell silent is asked anew
     # before that.
@@ -128,7 +134,7 @@
             handover.tell("hand", name=name, out=out)
         return known
 
-    console = Console(turn, lambda: node.phase == Phase.SERVING, by_hand, sockets // 16)
+    console = Console(turn, lambda: node.phase == Phase.SERVING, by_hand, room // 16)
     node = Node(loop, turn, gauges, pool, desk, door, console, watch, peers, handover, said, longest_of(conf),
                 read_again, renew)
     if said["fleet"]:
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -284,6 +284,15 @@
     def full(self):
         return len(self.clients) > self.most + self.most // 16
 
+    def busy(self):
+        """Full of clients that wait for an answer, and of executors, whose call-backs end that.
+
+        Clients that say nothing are closed as room is needed. Counted with them, in a crowd that comes again
+        and again, most invocations were turned away though their connections were there.
+        """
+        rest = len(self.strangers) + len(self.unsaid) + sum(not client.caller for client in self.idle)
+        return len(self.clients) - rest > self.most + self.most // 16
+
     def closed(self, client):
         for held in (self.clients, self.idle, self.strangers, self.unsaid, self.usual):
             held.pop(client, None)
@@ -363,7 +372,8 @@
                 raise ValueError
         except (ValueError, OverflowError):
             raise http.Bad(400, "malformed X-Cost or X-Attrs") from None
-        if client.crowded and self.full():
+        self.unsaid.pop(client, None)
+        if client.crowded and self.busy():
             self.turn.gauges.count("crowded")
             return client.reply(503)      # throttled, since it never went out; a close would lose it
         self.known(client)
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -1,14 +1,17 @@
 """Discovery fails, each way it can: how long after its return the node has been told, by settings."""
 import asyncio
+import resource
 import struct
+import time
 from contextlib import suppress
 from math import inf
 from socket import SO_LINGER, SOL_SOCKET
 from types import SimpleNamespace
 
 import pytest
-from crossing import ROW, TERMS, Agent, Place, free_port
-from helpers import dispatcher
+from crossing import ROW, TERMS, Agent, Client, Executor, Place, free_port, until
+from helpers import HAND_IN, dispatcher, floor, news, say
+from test_signals import program, told
 
 from grebedyke.service import node
 from grebedyke.wire.discovery import entries
@@ -153,3 +156,131 @@
     rows = entries({"endpoints": [{**DRAINING, "name": "s-2", "status": "Ready", **odd}, DRAINING]})
     d.listed(10, True, [(name, *more) for name, _, *more in rows])
     assert d.fleet.all["s-1"].state == "draining"
+
+
+class Served(Executor):
+    """Tells its end of each invocation at once, on one connection that it keeps."""
+
+    def __init__(self, name, door):
+        super().__init__(name)
+        self.door, self.tasks = door, set()
+        self.answers = self.ends
+
+    def ends(self, line, head):
+        if line.startswith(b"POST"):
+            task = asyncio.create_task(self.tell(head[b"x-request-id"].decode()))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+    async def tell(self, id):
+        # An executor repeats a call-back until it is answered.
+        for _ in range(10):
+            with suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(*self.door)
+                writer.write(news("done", self.name, id))
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                    return
+                finally:
+                    writer.close()
+
+
+async def handed(door, id, stays):
+    """Whether an invocation is answered by an executor's result; its connection is kept in `stays`.
+
+    In a crowd one may be told to come again, or be closed unread: as clients do, it comes again, four times.
+    """
+    for again in range(5):
+        with suppress(asyncio.IncompleteReadError, OSError):
+            reader, writer = await asyncio.open_connection(*door)
+            stays.append(writer)
+            writer.write(Client.head(f"{id}-{again}", 0))
+            if (await reader.readuntil(b"\r\n\r\n"))[9:12] == b"200":
+                return True
+    return False
+
+
+async def idles(door, came):
+    """One of a crowd: connects, says nothing, and comes again when it is closed."""
+    while True:
+        with suppress(OSError):
+            reader, writer = await asyncio.open_connection(*door)
+            came.append(writer)
+            try:
+                await reader.read()
+            finally:
+                writer.close()
+        await asyncio.sleep(0.5)
+
+
+def test_a_crowd_that_says_nothing_turns_no_invocation_away():
+    # All of it is new, so nobody could go when the client connected; its connection is there all the same.
+    for owed, taken in (0, True), (6, False):
+        node = floor(most=4)
+        crowd = [node.client() for _ in range(6)]
+        for i, one in enumerate(crowd[:owed]):
+            one.crowded = False
+            say(one, HAND_IN.replace(b"r1", b"o%d" % i))
+        client = node.client()
+        assert client.crowded
+        say(client, HAND_IN)
+        node.loop.go()
+        assert (client.owed is not None) == taken, owed
+        assert (b" 503 " in client.transport.written) != taken
+
+
+@pytest.mark.parametrize("most", (256, 128, 64, 32))
+def test_idle_clients_leave_descriptors_for_discovery_and_forwards(tmp_path, most):
+    async def story():
+        agent, lines, stays, came, crowd = Agent(), [], [], [], []
+        port = free_port()
+        # Addresses of its own: the executors' servers and connects draw their ports on the common one.
+        door = f"127.2.0.{most % 255}", free_port()
+        said = told(discovery=f"{door[0]}:{port}", listen="%s:%d" % door, limits={"sockets": most})
+        # More than there are lines for; half of them begin to drain while discovery is down.
+        executors = [await Served(f"s-{i}", door).start() for i in range(most // 3)]
+        drained, rest = executors[::2], executors[1::2]
+        said["known"] = {"index": 1, "endpoints": [e.row() for e in executors]}
+        limit = resource.RLIMIT_NOFILE, (most, most)
+        work, _ = program(tmp_path, said, preexec_fn=lambda: resource.setrlimit(*limit))
+        reads = asyncio.create_task(asyncio.to_thread(lambda: lines.extend(work.stderr)))
+
+        async def at_once(target, writer):
+            if "after=9" not in target:
+                agent.say(9, *(e.row(status="Terminating") for e in drained), writer=writer)
+
+        agent.at_once = at_once
+        try:
+            await until(lambda: any("-> serving" in line for line in lines), "serving")
+            # All shares are drawn on: lines to executors, clients that were good and stay, a silent crowd.
+            for i in range(0, most, 8):
+                await asyncio.gather(*(handed(door, f"a{i + j}", stays) for j in range(8)))
+            crowd += [asyncio.create_task(idles(door, came)) for _ in range(2 * most)]
+            await until(lambda: len(came) >= 2 * most, "the crowd")
+            agent.server = await asyncio.start_server(agent.talk, door[0], port)
+            back = time.monotonic()
+            await until(lambda: any("after=9" in target for target in agent.asked), "the list")
+            took, before = time.monotonic() - back, sum(len(e.seen) for e in rest)
+            wrong = sum(len(e.seen) for e in drained)
+            done = [await handed(door, f"b{i}", stays) for i in range(20)]
+            wrong = sum(len(e.seen) for e in drained) - wrong
+            faults = sum("accept" in line or "loop-fault" in line for line in lines)
+            print(f"{most} descriptors: told after {took:.2f} s, {sum(done)} of 20 sent on and done, {wrong} "
+                  f"to who drains, {faults} lines of want")
+            return took < TOLD, all(done), sum(len(e.seen) for e in rest) - before >= 20, wrong, faults
+        finally:
+            for task in crowd:
+                task.cancel()
+            await asyncio.gather(*crowd, return_exceptions=True)
+            work.kill()
+            await asyncio.to_thread(work.wait)
+            await reads
+            work.stderr.close()
+            for writer in stays:
+                writer.close()
+            for server in (*executors, agent):
+                if hasattr(server, "server"):
+                    server.server.close()
+
+    assert asyncio.run(story()) == (True, True, True, 0, 0)
