--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -15,6 +15,11 @@
 from grebedyke.wire.executors import Pool
 from grebedyke.wire.peers import Peers
 
+# Descriptors that no share may draw on: log and loop (6), listeners, datagrams, the watch (2), handover, a
+# file, and what the door takes beyond its share (clients.SPARE). With shares of the whole, idle clients left
+# a node of 128 and fewer none to hear discovery with.
+KEPT = 22
+
 
 def parts_of(conf):
     """What each part is told of the settings, at the start and again when they change."""
@@ -26,12 +31,12 @@
     desk = (int(limits["maxForwards"]), int(limits["maxOpen"]),
             b"/alive" if conf["telemetry"]["how"] == "off" else b"/metrics/load", 2 * connect, 4 * tick, tick)
     door = {row["name"]: tenths(row["clientTimeoutMs"]) for row in conf["operations"]}, longest + SECOND
-    # A push site's watch is kept up without asking anyone; elsewhere the module says when. What the agent
-    # gets at discovery's return counts as told at once: a call that is silent since before is given up, and
-    # begun anew, in time for the drain grace of the settings.
+    # The watch is kept up without asking the module, also where lists are asked for: its back-off, up to 16 s
+    # with 40 nodes, let changes count as told long before they were heard. What the agent gets at discovery's
+    # return may count at once: a call that is silent since before is given up, and begun anew, in time for
+    # the drain grace of the settings, and soon enough that further such calls are over before 6 s.
     drain = max(tenths(conf["rules"]["drainGraceMs"]), SECOND // 5)
-    push = conf["registryMode"] == "push"
-    watch = min(SECOND, drain // 2) if push else SECOND, min(SECOND // 2, drain // 4) if push else 0
+    watch = min(SECOND // 2, drain // 2), min(SECOND // 4, drain // 4)
     return pool, desk, door, watch
 
 
@@ -69,10 +74,11 @@
     turn = Turn(loop, gauges)
     turn.clock = clock or turn.clock
     # To executors a line is taken for a forward's 202 only, from clients one for each invocation that
-    # waits; the rest is for log, loop, discovery and newcomers that are told to come back later.
-    pool = Pool(loop, turn, *for_pool, sockets // 4)
+    # waits; the rest is for newcomers that are told to come back later.
+    room = sockets - KEPT
+    pool = Pool(loop, turn, *for_pool, max(room // 4, 1))
     desk = Desk(dispatcher, turn, pool, gauges, *for_desk)
-    door = Door(turn, operations, desk.take, desk.news, desk.left, sockets * 5 // 8, sockets * 3 // 10,
+    door = Door(turn, operations, desk.take, desk.news, desk.left, room * 5 // 8, room * 3 // 10,
                 patience)
     # Short waits: what an agent has counts as told 2 s after the wait, and one that fell silent is asked anew
     # before that.
@@ -128,7 +134,7 @@
             handover.tell("hand", name=name, out=out)
         return known
 
-    console = Console(turn, lambda: node.phase == Phase.SERVING, by_hand, sockets // 16)
+    console = Console(turn, lambda: node.phase == Phase.SERVING, by_hand, room // 16)
     node = Node(loop, turn, gauges, pool, desk, door, console, watch, peers, handover, said, longest_of(conf),
                 read_again, renew)
     if said["fleet"]:
