A client that has gone is read before its invocation goes out, within 0.1 s of its close

Need: a forward, first or further, that begins more than 0.1 s after its client's close is a break.

Causes, each with the scenes that fail without its mend: - what a pass of the loop finds ready is handled behind the turn that was asked for in the pass before. Now the time counts since which all has been read, looked at before each write, and what was put off goes before anything new is decided. Three times at most, so that answers get out on a machine that is always late.

--- a/grebedyke/service/desk.py
+++ b/grebedyke/service/desk.py
@@ -46,11 +46,15 @@
         # The client timeout has run since the kernel had it, and a node may have stood still since; one that
         # stops has less time still. The module reckons with the client's own time from now: a shorter one
         # looks like a repeat whose slack is used up, and it would give all of them up.
-        last = due - self.turn.unread(now)
+        last = due - (unread := self.turn.unread(now))
         last = min(last, self.latest) if self.latest else last
         owed = client.owed = self.owed[id] = Owed(id, client, line, body, last, now)
         self.gauges.count("taken")
-        self.turn.put(self.taken, owed, operation, tenant, due, hint, slots)
+        taken = self.taken, owed, operation, tenant, due, hint, slots
+        if unread or client.new:
+            # It may have lain in the kernel, or not accepted yet, and its client's close right behind it.
+            return self.turn.put_once_read(client, *taken)
+        self.turn.put(*taken)
 
     def taken(self, now, owed, operation, tenant, due, hint, slots):
         # Whatever fails from here on, the invocation is answered in time.
--- a/grebedyke/service/turn.py
+++ b/grebedyke/service/turn.py
@@ -1,6 +1,7 @@
 """The loop's turn: what is ready is gathered, handed to the module in one go, its decisions are done."""
 import time
 from collections import deque
+from functools import partial
 from heapq import heappop, heappush
 
 from loguru import logger
@@ -9,6 +10,8 @@
 STALL = 800
 # After a stall: one pass accepts, one or two set up, one reads an invocation, one that its client has left.
 PASSES = 5
+# A flood behind an invocation holds it back for so many passes; so often messages are put off.
+FLOOD, AGAIN = 40, 3
 
 
 class Turn:
@@ -23,7 +26,7 @@
         self.inbox, self.touched, self.limits, self.count = [], {}, [], 0
         self.soon, self.timer, self.armed = False, None, 0
         self.last_look = None      # called right before a turn's messages are written
-        self.put_off, self.late_look = 0, False
+        self.put_off, self.looked, self.late = 0, 0, 0
         self.marks = deque([self.clock()] * 3, 3)
 
     @staticmethod
@@ -51,6 +54,20 @@
         self.inbox.append((call, args))
         self.hurry()
 
+    def put_once_read(self, connection, call, *args):
+        """An input whose connection may hold more, such as its close: put once a pass reads no more.
+
+        What a pass finds ready is handled behind the turn that was asked for in the pass before.
+        """
+        self.loop.call_soon(partial(self.reads_on, connection, None, FLOOD, call, args))
+
+    def reads_on(self, connection, before, left, call, args):
+        come = connection.come()
+        if left and come != before:
+            self.loop.call_soon(partial(self.reads_on, connection, come, left - 1, call, args))
+        else:
+            self.put(call, *args)
+
     def touch(self, connection):
         self.touched[connection] = None
         self.hurry()
@@ -82,24 +99,24 @@
         self.hurry()
 
     def run(self):
-        if self.unread(self.clock()) and self.put_off < PASSES:
+        now = self.clock()
+        if self.unread(now) and self.put_off < PASSES:
             # What came in meanwhile is read first, to its end: a client may be long gone by now.
+            self.looked = self.looked if self.put_off else now
             self.put_off += 1
             return self.loop.call_soon(self.run)
+        # Up to then all that had reached the kernel has been handled: the third last mark is two passes back.
+        read = max(self.marks[0], self.looked if self.put_off > 1 else 0)
         self.put_off = 0
         self.mark()
         now = self.marks[-1]
         try:
             self.gather(now)
-            while (decision := self.guard(self.decide, now)) is not None:
-                self.guard(self.carry, now, decision)
-            if self.last_look:
-                self.guard(self.last_look, self.clock())
-            # A turn as long as a stall: who left meanwhile is read before anything goes out, once.
-            self.late_look = self.clock() - now > STALL and not self.late_look
-            touched, self.touched = (self.touched, {}) if not self.late_look else ({}, self.touched)
-            for connection in touched:
-                self.guard(self.flush, now, connection)
+            # What was put off goes before anything new is decided, which could take as long again.
+            if not self.late or self.write(now, read):
+                while (decision := self.guard(self.decide, now)) is not None:
+                    self.guard(self.carry, now, decision)
+                self.write(now, read)
         finally:
             self.soon = False
             if self.inbox or self.touched:
@@ -107,6 +124,22 @@
             self.arm()
         self.gauges.turn(self.clock() - now)
 
+    def write(self, now, read):
+        """Whether all is written.
+
+        Past a stall's length since `read`, who left meanwhile is read before the rest goes.
+        """
+        if self.last_look:
+            self.guard(self.last_look, self.clock())
+        for connection in list(self.touched):
+            if self.late < AGAIN and self.clock() - read > STALL:
+                self.late += 1
+                return False
+            del self.touched[connection]
+            self.guard(self.flush, now, connection)
+        self.late = 0
+        return True
+
     def gather(self, now):
         inputs, self.inbox = self.inbox, []
         for call, args in inputs:
--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -16,6 +16,8 @@
 # From its connecting on, who has not yet sent anything good is told so or closed within 3 s, trickling or
 # silent.
 GREETING, LOOK = 22_000, 2_500
+# So much behind an open invocation is read at once, by pieces of this size: the close stands behind it.
+BEHIND, SCRAP = 1 << 22, memoryview(bytearray(1 << 18))
 # After an error that ends a connection, so much of what still comes is read, for so long: a close before that
 # could reset the answer, and reading all of a huge body would take the node's time from others.
 WASTE, FAREWELL = 1 << 18, 10_000
@@ -34,7 +36,8 @@
         super().__init__(door.turn.touch, once=ONCE)
         self.door, self.owed, self.caller, self.keep, self.crowded = door, None, False, True, False
         self.good, self.waste = False, 0      # good: has handed in an invocation or called back
-        self.spilt = False
+        self.spilt, self.spilled = False, 0
+        self.new = True      # its first invocation is still to come
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -56,13 +59,28 @@
         what stood behind it was taken for one whose client waits.
         """
         self.spilt, self.keep, self.lingers = True, False, True
-        self.waste += self.ring.used
+        self.scrap(self.ring.used)
         self.ring.skip(self.ring.used)
-        if self.waste > WASTE and not self.transport.is_closing():
+
+    def scrap(self, n):
+        self.waste, self.spilled = self.waste + n, self.spilled + n
+        if self.waste > WASTE and self.spilled > BEHIND and not self.transport.is_closing():
             self.waste = 0
             self.transport.pause_reading()
             self.door.turn.after(BREATH, lambda now: self.transport.resume_reading())
 
+    def get_buffer(self, hint):
+        return SCRAP if self.spilt and self.owed is not None else super().get_buffer(hint)
+
+    def buffer_updated(self, n):
+        if self.spilt and self.owed is not None:
+            return self.scrap(n)
+        super().buffer_updated(n)
+
+    def come(self):
+        """How much has been read behind its open invocation."""
+        return self.ring.used + self.spilled
+
     def read(self):
         if self.owed is not None and (self.spilt or not self.ring.free()):
             return self.spill()
@@ -122,6 +140,7 @@
         """The owed answer is written: what the peer has sent meanwhile is read now."""
         self.owed = None
         if self.lingers:
+            self.waste = 0
             self.door.turn.after(FAREWELL, lambda now: self.close())
         if not self.last and self.parser.begun():
             self.read()
@@ -371,6 +390,7 @@
         line = method, target, headers.get(b"idempotency-key")
         wait = min(int(wait) * 10, self.operations[operation])
         self.take(client, id, named, tenant, wait, hint, slots, line, body)
+        client.new = False
 
     def stop(self):
         self.stopping = True
--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,478 @@
+"""Clients that have gone: no forward, first or further, begins more than 0.1 s after its client's close.
+
+Each scene holds invocations in one place, lets their clients go in one instant, and counts the forwards that
+the node begins to write later and that reach an executor. Executors are threads: the loop stands still.
+"""
+import asyncio
+import socket
+import threading
+import time
+
+import pytest
+from crossing import ROW, TERMS, Client, Place, until
+
+from grebedyke.shares import meters
+from grebedyke.shares.limits import OPEN, Limit
+from grebedyke.wire import words
+from grebedyke.wire.executors import Line
+
+LATE, PAST = 0.1, 0.16
+ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+RETURNED = b"HTTP/1.1 503 Busy\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+WAIT = 20_000      # plenty, also for a machine that is busy
+OPERATION = {**TERMS["operations"][0], "idempotency": "safe", "latencyObjectiveMs": WAIT,
+             "clientTimeoutMs": WAIT}
+LIMITS = {**TERMS["limits"], "maxForwards": 60}
+MANY = 100
+
+
+class Recorder:
+    """One address behind any number of executors' names; `came`: the ids of the forwards that reached it."""
+
+    def __init__(self):
+        self.came, self.answer, self.deletes, self.may_end = [], lambda id: ACCEPTED, [], threading.Event()
+        self.may_end.set()
+        self.server = socket.create_server(("127.0.0.1", 0), backlog=1024)
+        self.address = "127.0.0.1:%d" % self.server.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def rows(self, number, **more):
+        return [{**ROW, "name": f"s-{i}", "address": self.address, **more} for i in range(1, number + 1)]
+
+    def accept(self):
+        while True:
+            try:
+                sock, _ = self.server.accept()
+            except OSError:
+                return
+            threading.Thread(target=self.talk, args=(sock,), daemon=True).start()
+
+    def talk(self, sock):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        data = b""
+        with sock:
+            try:
+                while data or (data := sock.recv(65_536)):
+                    data = self.one(sock, data)
+            except OSError:
+                pass
+
+    def one(self, sock, data):
+        while b"\r\n\r\n" not in data:
+            data += self.more(sock)
+        head, _, data = data.partition(b"\r\n\r\n")
+        line, *rows = head.split(b"\r\n")
+        said = dict(row.lower().split(b": ", 1) for row in rows)
+        length = int(said.get(b"content-length", 0))
+        if line.startswith(b"DELETE"):
+            self.deletes.append(line.split()[1].rpartition(b"/")[2])
+            self.may_end.wait(20)
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        else:
+            self.came.append(said[b"x-request-id"])
+            while len(data) < length:
+                data += self.more(sock)
+            answer = self.answer(said[b"x-request-id"])
+            if answer is None:
+                raise OSError("its connection ends without an answer")
+            sock.sendall(answer)
+        return data[length:]
+
+    @staticmethod
+    def more(sock):
+        data = sock.recv(65_536)
+        if not data:
+            raise OSError("ended in a message")
+        return data
+
+
+
+class Scene:
+    """A place with its executors; `gone`: id and the moment at which its client had closed."""
+
+    def __init__(self, executors=1, gated=False, limits=(), **more):
+        self.recorder, self.gone = Recorder(), {}
+        rows = self.recorder.rows(executors)
+        self.place = Place(*rows, gate=[self.recorder.address] if gated else (), operations=[OPERATION],
+                           limits={**LIMITS, **dict(limits)}, **more)
+
+    async def __aenter__(self):
+        await self.place.__aenter__()
+        flush, self.wrote = Line.flush, []
+
+        def noted(line):
+            if line.out.used and line.call and line.call.forwards:
+                id = line.call.head.partition(b"X-Request-ID: ")[2].split()[0]
+                self.wrote.append((id, time.monotonic()))
+            flush(line)
+
+        Line.flush, self.flush = noted, flush
+        self.dispatcher, self.owed = self.place.desk.dispatcher, self.place.desk.owed
+        return self
+
+    async def __aexit__(self, kind, *more):
+        self.recorder.may_end.set()
+        try:
+            return await self.place.__aexit__(kind, *more)
+        finally:
+            Line.flush = self.flush
+            self.recorder.server.close()
+
+    def clients(self, number, first=1):
+        ids = [b"r%d" % i for i in range(first, first + number)]
+        return {id: Client(self.place.address) for id in ids}
+
+    def hand_in(self, clients, body=b"abc"):
+        for id, client in clients.items():
+            client.hand_in(id.decode(), WAIT, body=body)
+
+    def leave(self, clients):
+        """Every second one by a reset."""
+        for id, client in clients.items():
+            client.leave(reset=len(self.gone) % 2 > 0)
+            self.gone[id] = time.monotonic()
+
+    async def past(self, more=0.0):
+        """Long enough after the last close that what begins from here on is a break."""
+        end = max(self.gone.values()) + PAST + more
+        await until(lambda: time.monotonic() > end)
+
+    def held(self):
+        return [inv.id for inv in self.dispatcher.held if inv.held]
+
+    async def ends(self, id, state="done"):
+        """Call-backs for whatever is out of this one."""
+        if id in self.owed:
+            for flight in [f for f in self.owed[id].flights if not f.done]:
+                await self.place.tell(state, id.decode(), flight.endpoint.name)
+
+    def no_stall(self):
+        """As in a busy loop, which marks in every pass: how long a close has lain there does not show."""
+        for _ in range(3):
+            self.place.turn.mark()
+
+    async def another(self, id=b"z1"):
+        """The node goes on; whatever was held before it has had its chance as well."""
+        client = Client(self.place.address).hand_in(id.decode(), WAIT)
+        answer = asyncio.create_task(client.answer())
+        while not answer.done():      # a forward that is given up meanwhile is followed by another
+            await until(lambda: answer.done() or id in self.recorder.came, "another's forward")
+            await self.ends(id)
+            await asyncio.sleep(0.01)
+        assert b" 200 " in await answer
+        client.leave()
+
+    async def finish(self):
+        """What began in time ends by its executor, so that nothing is left over."""
+        await self.another()
+        for id in list(self.owed):
+            await self.ends(id)
+        return self.breaks()
+
+    def breaks(self):
+        """By when the node wrote it: an executor's thread may look later."""
+        return [(id, round(at - self.gone[id], 3)) for id, at in self.wrote
+                if id in self.gone and at > self.gone[id] + LATE and id in self.recorder.came]
+
+
+async def connects(number):
+    async with Scene(number, gated=True) as scene:
+        clients = scene.clients(number)
+        scene.hand_in(clients)
+        await until(lambda: scene.place.gate.up == number, "the connects")
+        scene.leave(clients)
+        await scene.past()
+        scene.place.gate.open.set()
+        return await scene.finish()
+
+
+async def is_held(number):
+    """For want of credit: the one executor has work."""
+    async with Scene() as scene:
+        first, clients = scene.clients(1, 0), scene.clients(number)
+        for e in scene.dispatcher.fleet.all.values():
+            e.credit = 1.0
+        scene.hand_in(first)
+        await until(lambda: b"r0" in scene.recorder.came, "the work")
+        scene.hand_in(clients)
+        await until(lambda: len(scene.held()) == number, "that they are held")
+        scene.leave(clients)
+        await scene.past()
+        await scene.ends(b"r0")
+        first[b"r0"].leave()
+        return await scene.finish()
+
+
+async def waits_for_a_lender(number):
+    async with Scene(number, limits={"peerMessages": True}, balancers=2) as scene:
+        asks, fleet = {}, scene.dispatcher.fleet
+        scene.place.desk.peers.send = lambda to, body: asks.update(
+            {words.unpack(body)[1]: words.unpack(body)} if words.unpack(body)[0] == "ask" else {})
+        fleet.keeper = lambda group, now, silent=False: 1
+        clients = scene.clients(number)
+        scene.hand_in(clients)
+        await until(lambda: len(asks) == number and len(scene.held()) == number, "the asks")
+        scene.leave(clients)
+        await scene.past()
+        for number, ask in asks.items():
+            scene.place.turn.put(scene.place.desk.heard, 1, words.pack("lend", number, ask[2]))
+        await until(lambda: not scene.place.turn.inbox)
+        fleet.keeper = lambda group, now, silent=False: 0
+        return await scene.finish()
+
+
+def further(answer, connect=5000):
+    """Held after a first forward that ended in a way which allows another."""
+    async def scene_of(number):
+        async with Scene(max(number, 2), limits={"connectTimeoutMs": connect}) as scene:
+            scene.recorder.answer = lambda id: answer
+            clients, executors = scene.clients(number), scene.dispatcher.fleet.all.values()
+            scene.hand_in(clients)
+            owed = scene.owed
+            await until(lambda: len(owed) == number and all(one.flights for one in owed.values()),
+                        "the first forwards")
+            for e in executors:
+                e.shut = 1 << 60
+            await until(lambda: len([i for i in scene.dispatcher.held if i.held and i.forwards]) == number,
+                        "that they are held again")
+            scene.recorder.answer = lambda id: ACCEPTED
+            scene.leave(clients)
+            await scene.past()
+            for e in executors:
+                e.shut = 0
+                e.full.clear()
+            return await scene.finish()
+    return scene_of
+
+
+async def further_connects(number):
+    """Its further forward waits for a connection: the first was turned away."""
+    async with Scene(2 * number) as scene:
+        scene.recorder.answer = lambda id: RETURNED
+        loop, real, opened, up = asyncio.get_running_loop(), None, asyncio.Event(), []
+        real = loop.create_connection
+
+        async def connect(make, *where, **more):
+            made = await real(make, *where, **more)
+            if len(scene.recorder.came) >= number:
+                up.append(made)
+                try:
+                    await opened.wait()
+                except asyncio.CancelledError:
+                    made[0].abort()      # as asyncio does with a connect that is cancelled
+                    raise
+            return made
+
+        loop.create_connection = connect
+        clients = scene.clients(number)
+        scene.hand_in(clients)
+        await until(lambda: len(up) >= number, "the further connects")
+        assert all(len(scene.owed[id].flights) > 1 for id in list(clients)[:1])
+        scene.recorder.answer = lambda id: ACCEPTED
+        scene.leave(clients)
+        await scene.past()
+        opened.set()
+        result = await scene.finish()
+        del loop.create_connection
+        return result
+
+
+CUTS = {"limits": {"mayCancel": True}, "familyInfo": {"tellsStart": True}}
+
+
+def cut(during):
+    async def scene_of(number):
+        async with Scene(2 * number + 2, **CUTS) as scene:
+            d, recorder = scene.dispatcher, scene.recorder
+            d.cutoffs.best, d.cutoffs.freed, d.cutoffs.at = [500], 9, 1 << 60
+            d.fleet.lay(0.5)
+            recorder.may_end.clear()
+            clients = scene.clients(number)
+            scene.hand_in(clients)
+            await until(lambda: len(recorder.came) == number, "the forwards")
+            for id in clients:
+                await scene.ends(id, "started")
+            await until(lambda: len(recorder.deletes) == number, "the cuts")
+            if during == "held":
+                for e in d.fleet.all.values():
+                    e.shut = scene.place.turn.clock() + 4_000
+                recorder.may_end.set()
+                await until(lambda: len([i for i in d.held if i.held and i.tier]) == number, "tier one")
+            scene.leave(clients)
+            await scene.past()
+            recorder.may_end.set()
+            d.cutoffs.best = None
+            return await scene.finish()
+    return scene_of
+
+
+
+
+async def waits_for_a_slot(number):
+    """What is over a limit is answered at once and never held: a place that this program does not have."""
+    async with Scene(2) as scene:
+        limit = Limit("l", OPEN, 1, 0, 0, None, None, False)
+        gate = meters.Gate([limit], 1, 0.02, 500, 1_000_000, scene.place.turn.clock())
+        gate.meters[limit.id()].given(scene.place.turn.clock(), 1, 1 << 60)
+        scene.dispatcher.shares.limits = gate
+        first, clients = scene.clients(1, 0), scene.clients(number)
+        scene.hand_in(first)
+        await until(lambda: b"r0" in scene.recorder.came)
+        scene.hand_in(clients)
+        await until(lambda: scene.place.turn.gauges.counts["throttled"] == number, "the answers")
+        assert not scene.held()
+        scene.leave(clients)
+        await scene.past()
+        await scene.ends(b"r0")
+        first[b"r0"].leave()
+        await until(lambda: not gate.open)
+        return await scene.finish()
+
+
+def stall(kept, behind=b""):
+    """They come and go while the loop stands still."""
+    async def scene_of(number):
+        async with Scene(number) as scene:
+            await scene.another(b"z0")
+            clients = scene.clients(number if kept else 0)
+            await until(lambda: len(scene.place.door.clients) >= len(clients), "the connections")
+            clients = clients or scene.clients(number)
+            scene.hand_in(clients)
+            for client in clients.values():
+                client.socket.sendall(behind)
+            scene.leave(clients)
+            time.sleep(0.3)      # the stall itself
+            return await scene.finish()
+    return scene_of
+
+
+async def stall_while_it_connects(number):
+    """The close and the connection's coming up lie in the kernel when the loop goes on."""
+    async with Scene(number) as scene:
+        loop, real, up = asyncio.get_running_loop(), None, []
+        real, clients = loop.create_connection, scene.clients(number)
+
+        async def connect(*what, **more):
+            up.append(1)
+            if len(up) == number:
+                scene.leave(clients)
+                time.sleep(0.3)      # the stall itself
+            return await real(*what, **more)
+
+        loop.create_connection = connect
+        scene.hand_in(clients)
+        await until(lambda: len(scene.gone) == number, "the last connect")
+        del loop.create_connection
+        return await scene.finish()
+
+
+async def backlog(number):
+    """Not accepted for a while, as where descriptors are short: read and seen to leave only then."""
+    async with Scene(number) as scene:
+        await scene.another(b"z0")
+        loop, door = asyncio.get_running_loop(), scene.place.door
+        loop.remove_reader(door.server)
+        clients = scene.clients(number)
+        scene.hand_in(clients)
+        scene.leave(clients)
+        await scene.past()
+        assert not scene.place.turn.gauges.counts["taken"] - 1
+        scene.no_stall()
+        loop.add_reader(door.server, door.accept)
+        return await scene.finish()
+
+
+def long_turns(*lengths):
+    """A turn of such a length, and of the next as well; the clients leave when the last of them begins."""
+    async def scene_of(number):
+        async with Scene(number + 3) as scene:
+            await scene.another(b"z0")
+            desk, clients, others, turns = scene.place.desk, scene.clients(number), [], list(lengths)
+            forward = desk.deeds["forward"]
+
+            def slow(now, *what):
+                forward(now, *what)
+                if what[0] in (b"r%d" % number, b"y1", b"y2") and turns:
+                    length = turns.pop(0)
+                    if not turns:
+                        scene.leave(clients)
+                    time.sleep(length)
+                    if turns:
+                        others.append(Client(scene.place.address).hand_in("y%d" % (len(others) + 1)))
+
+            desk.deeds["forward"] = slow
+            await until(lambda: len(scene.place.door.clients) >= number)
+            scene.hand_in(clients)
+            await until(lambda: not turns, "the turns")
+            for i, other in enumerate(others, 1):
+                await until(lambda: b"y%d" % i in scene.recorder.came, "theirs")
+                await scene.ends(b"y%d" % i)
+                assert b" 200 " in await other.answer()
+                other.leave()
+            return await scene.finish()
+    return scene_of
+
+
+async def two_halves(number):
+    """A pass of the loop of 70 ms, then a turn of 70 ms: neither is a stall, together they are too long."""
+    number = min(number, 2)      # who hands a hundred in makes a stall of that
+    async with Scene(number) as scene:
+        await scene.another(b"z0")
+        desk, clients, done = scene.place.desk, scene.clients(number), []
+        forward = desk.deeds["forward"]
+
+        def slow(now, *what):
+            forward(now, *what)
+            if not done:
+                done.append(what)
+                time.sleep(0.07)
+
+        desk.deeds["forward"] = slow
+        await until(lambda: len(scene.place.door.clients) >= number)
+        scene.no_stall()
+        scene.hand_in(clients)
+        scene.leave(clients)
+        time.sleep(0.07)
+        await until(lambda: done or scene.place.turn.gauges.counts["left"] >= number)
+        return await scene.finish()
+
+
+def behind(size):
+    """It has written on behind its invocation, as much as the kernel takes, and closed."""
+    async def scene_of(number):
+        number = min(number, 4)
+        async with Scene(number, gated=True) as scene:
+            clients, threads = scene.clients(number), []
+            scene.hand_in(clients)
+            await until(lambda: scene.place.gate.up == number, "the connects")
+
+            def write(id, client):
+                client.socket.sendall(b"x" * size)
+                scene.leave({id: client})
+
+            for pair in clients.items():
+                threads.append(threading.Thread(target=write, args=pair))
+                threads[-1].start()
+            await until(lambda: not any(thread.is_alive() for thread in threads), "what they write")
+            await scene.past(-PAST + LATE)
+            scene.place.gate.open.set()
+            return await scene.finish()
+    return scene_of
+
+
+PLACES = {
+    "connects": connects, "is held": is_held, "waits for a lender": waits_for_a_lender,
+    "never ran": further(RETURNED), "reset": further(None), "silent": further(b"", 300),
+    "further connects": further_connects, "being cut": cut("delete"), "cut, held": cut("held"),
+    "waits for a slot": waits_for_a_slot, "stall, kept": stall(True), "stall, new": stall(False),
+    "stall, more behind": stall(True, b"x" * 100_000),
+    "stall, new, more behind": stall(False, b"x" * 100_000),
+    "stall while it connects": stall_while_it_connects, "backlog": backlog,
+    "long turn": long_turns(0.3), "two long turns": long_turns(0.3, 0.3), "two halves": two_halves,
+    "0.1 MB behind": behind(100_000), "3 MB behind": behind(3_000_000),
+}
+
+
+@pytest.mark.parametrize("where", PLACES)
+def test_no_forward_begins_after_its_client_has_gone(where):
+    assert asyncio.run(PLACES[where](MANY)) == []
