No small write is held back to clients; half a line from an executor does not begin the next answer

Cause of the first: the door makes its listener without the protocol's number, and asyncio sets TCP_NODELAY only where that is TCP's. Accepted connections had it off, those to executors on. The test reads the option of both kinds.

Cause of the second: bytes on a resting line that are not a whole answer stayed in its ring, and the next answer began with them: an invocation that must not be repeated was errored. Such a line ends now.

Was right, and is held by tests now: what is read after the node's own shutdown, or crosses a close, is not taken; a last answer is whole where the client writes on in the instant of the close.

--- a/grebedyke/wire/clients.py
+++ b/grebedyke/wire/clients.py
@@ -231,6 +231,9 @@
     async def receive(self, sock):
         client = Client(self)
         try:
+            # asyncio leaves it out where the listener was made without the protocol's number. A short answer
+            # waited until the one before was acknowledged, and went with a close over unread bytes.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await self.loop.connect_accepted_socket(lambda: client, sock)
         except OSError:
             sock.close()
--- a/grebedyke/wire/executors.py
+++ b/grebedyke/wire/executors.py
@@ -66,6 +66,8 @@
         try:
             while message := self.parser.next():
                 self.got(*message)
+            if self.call is None and self.parser.begun():
+                self.abort()      # half a line that nobody asked for: the next answer would begin with it
         except http.Bad as problem:
             if self.endpoint.pool.turn.gauges.few("odd"):
                 logger.warning("executor {executor}: answer not understood: {why}", event="answer-odd",
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -9,7 +9,7 @@
 import time
 
 import pytest
-from crossing import ROW, TERMS, Client, Place, until
+from crossing import ROW, TERMS, Client, Executor, Place, until
 
 from grebedyke.shares import meters
 from grebedyke.shares.limits import OPEN, Limit
@@ -476,3 +476,96 @@
 @pytest.mark.parametrize("where", PLACES)
 def test_no_forward_begins_after_its_client_has_gone(where):
     assert asyncio.run(PLACES[where](MANY)) == []
+
+
+# Bytes that arrive in the very moment in which the node ends or closes a connection.
+
+def test_small_writes_are_held_back_on_no_kind_of_connection():
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            await place.serves_another(executor)
+            client = Client(place.address).hand_in("r3")
+            await until(lambda: b"r3" in executor.seen, "the forward")
+            held = {type(one).__name__: one.transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_NODELAY) for one in (*place.door.clients, *place.pool.lines)}
+            await place.ended(client, "r3")
+        executor.server.close()
+        return held
+
+    held = asyncio.run(story())
+    assert set(held) == {"Client", "Line"} and all(held.values()), held
+
+
+@pytest.mark.parametrize("ends", ("close", "shutdown"))
+def test_a_last_answer_is_whole_and_what_comes_with_its_end_is_not_taken(ends):
+    # The client writes on when the second of two answers goes: the close is one over unread bytes.
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            client = Client(place.address)
+            head = Client.head("r1", 3)
+            if ends == "close":
+                head = head[:-2] + b"Connection: close\r\n\r\n"
+            client.socket.sendall(b"GET /up HTTP/1.1\r\n\r\n" + head + b"abc")
+            await until(lambda: executor.seen, "the forward")
+            inside = next(one for one in place.door.clients if one.owed)
+            if ends == "shutdown":
+                client.socket.sendall(b"x" * 9_000)
+                await until(lambda: inside.spilt, "what stands behind")
+            flush, crossed = inside.flush, []
+
+            def crossing():
+                if inside.last and not crossed:
+                    crossed.append(client.socket.sendall(Client.head("r2", 3) + b"abc"))
+                flush()
+
+            inside.flush = crossing
+            await place.tell("done", more=',"result":"all of it"')
+            data = b""
+            while b"all of it" not in data and (part := await client.answer()):
+                data += part
+            client.leave()
+            await place.settled()
+            assert crossed
+        executor.server.close()
+        return data, executor.seen
+
+    data, seen = asyncio.run(story())
+    assert data.endswith(b"all of it") and seen == [b"r1"]
+
+
+def test_what_crosses_the_close_of_a_resting_connection_is_not_taken():
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            client = Client(place.address).hand_in("r1")
+            await until(lambda: executor.seen, "the forward")
+            await place.tell("done")
+            assert b" 200 " in await client.answer()
+            client.socket.setblocking(True)
+            client.hand_in("r2")      # with the kernel, and not read
+            place.door.wind_up()
+            await until(lambda: not place.door.clients, "the close")
+            client.leave()
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r1"]
+
+
+@pytest.mark.parametrize("part", (b"HTTP/1.1 2", b"\r", b"HTTP/1.1 202 Accepted\r\nContent-Le"))
+def test_half_a_line_on_a_resting_connection_is_not_taken_for_the_next_answers_begin(part):
+    async def story():
+        executor = await Executor().start()
+        async with Place(executor.row()) as place:
+            await place.serves_another(executor, "r1")
+            await until(lambda: place.endpoint().idle, "a line at rest")
+            line = place.endpoint().idle[0]
+            executor.lines[0].write(part)
+            await until(lambda: line.ring.used or line.transport.is_closing(), "half a line")
+            await place.serves_another(executor)
+        executor.server.close()
+        return executor.seen
+
+    assert asyncio.run(story()) == [b"r1", b"r2"]
