--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -569,3 +569,30 @@
         return executor.seen
 
     assert asyncio.run(story()) == [b"r1", b"r2"]
+
+
+@pytest.mark.parametrize("half", (False, True))
+def test_of_what_was_sent_at_once_nothing_is_taken_after_the_clients_end(half):
+    # A client that only ends its own side has left as well: TCP does not tell the two apart.
+    async def story():
+        async with Scene() as scene:
+            client = scene.clients(1)[b"r1"]
+            client.socket.sendall(b"".join(Client.head(id, 3) + b"abc" for id in ("r1", "r2", "r3")))
+            await until(lambda: b"r1" in scene.recorder.came, "the first forward")
+            for e in scene.dispatcher.fleet.all.values():
+                e.shut = 1 << 60
+            await scene.ends(b"r1")
+            await until(lambda: scene.held() == [b"r2"], "that the second is held")
+            first = await client.answer()
+            if half:
+                client.socket.shutdown(socket.SHUT_WR)
+                assert await client.answer() == b""
+            client.leave()
+            await until(lambda: not scene.owed, "that the client has left")
+            for e in scene.dispatcher.fleet.all.values():
+                e.shut = 0
+            await scene.another()
+            return first, scene.recorder.came
+
+    first, came = asyncio.run(story())
+    assert b" 200 " in first and came == [b"r1", b"z1"]
