Cold executors: parts by weight, and of what was taken, so that all nodes' sum holds

Need: beyond a cold executor's budget of N calls only 2 root N + 2 are chance, over the sum of what all processes send. Nothing counted that sum.

Sent on and on under two to three times the load they made its rate four times what the fleet can end, and the parts twice N. - Each part was that of a mean executor: one with a quarter of the mean's capacity got four times its part. - The turns, the floor of one call in 4 s, lists that come late and restarts of nodes were looked at and are not what passes the bound.

Change: a forward that is turned away leaves the rate again; a small executor's gap goes by its weight in the list, a large one's stays the mean's.

--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -13,8 +13,7 @@
 
 SECOND = 10_000
 # A keeper that says nothing for so long is taken for dead; what it lent and never hears of is its own again.
-PATIENCE, LEASE = SECOND // 10, 4 * SECOND
-FOREVER = 2 ** 62
+PATIENCE, LEASE, FOREVER = SECOND // 10, 4 * SECOND, 2 ** 62
 
 
 class Cutoffs:
@@ -138,7 +137,9 @@
         """Rule 4 counts all nodes: each sends a young one its part of half the multiple, first by turns."""
         rate = max(self.sends.total(now, 4), self.sends.total(now) / 4, 1)      # else it feeds on itself
         part = self.multiple / 2 * self.warmth(e, now) * rate
-        gap, turn = len(self.listed) * 4 * SECOND / part, (self.me + e.rank) % self.nodes / self.nodes
+        # By the list's weights where it is a small one: it falls at less than the mean does.
+        gap = max(len(self.listed), self.heft / e.weight) * 4 * SECOND / part
+        turn = (self.me + e.rank) % self.nodes / self.nodes
         return now >= (e.sent + gap if e.sent >= e.born else e.told + gap * turn)
 
     def ready(self, e, now):
@@ -201,8 +202,7 @@
             self.trims.add(now)
         # Many nodes at few slots: one forward each would be too much; credit under one rests in between. The
         # bound grows with the nodes: a start 3 s late, at a hang's end, cost one of three half a minute.
-        rest = min(int(took * max(1 / e.credit - 1, 0)), self.nodes * SECOND // 8)
-        e.shut = max(e.shut, now + rest)
+        e.shut = max(e.shut, now + min(int(took * max(1 / e.credit - 1, 0)), self.nodes * SECOND // 8))
 
     def probed(self, now, id, outcome, free, held):
         """What other nodes send is seen here alone: the report gives the work there by its slots."""
@@ -233,6 +233,7 @@
         if outcome == FULL:
             # Some turn away one operation only. Where all workers do, its work waits here: the design's hold.
             e.full[op] = now + SECOND
+            self.sends.add(now, -1)      # sent on and on under overload, it would make all parts grow
             e.credit = max(1.0, min(e.credit, e.used)) if min(e.full.values()) > now else e.credit
         elif outcome not in (CANCELLED, MOOT):
             # Written off, but tried again at a bounded, growing distance with a single forward. Errors too:
@@ -276,9 +277,8 @@
 
     def books(self):
         """For the process that goes on with this node's work; to the rule both are one, so this one stops."""
-        books = self.took.buckets(), self.again.buckets(), self.took.span, self.shut
-        self.shut = FOREVER
-        return books
+        shut, self.shut = self.shut, FOREVER
+        return self.took.buckets(), self.again.buckets(), self.took.span, shut
 
     def alone(self, now):
         """The process that had it has gone, and what it sent is unknown: none for a window."""
--- a/grebedyke/ledger/__init__.py
+++ b/grebedyke/ledger/__init__.py
@@ -96,7 +96,7 @@
         if self.born is not None and born and born > self.born:
             # Restarted: what was known of its health is of its former life.
             self.shut, self.fails, self.full, self.credit = 0, 0, {}, min(self.credit, 2.0)
-        self.zone, self.kind, self.cell, self.said, self.weight = zone, kind, cell, state, weight
+        self.zone, self.kind, self.cell, self.said, self.weight = zone, kind, cell, state, max(weight, 0.01)
         self.born = born or -inf      # 0: long past
 
 
@@ -211,7 +211,7 @@
 
     def __init__(self, split):
         self.split, self.all, self.listed, self.groups, self.ranks, self.floors = split, {}, [], {}, {}, {}
-        self.top, self.share, self.sends = 1, 0.0, Ring(10_000, 16)
+        self.top, self.heft, self.share, self.sends = 1, 0, 0.0, Ring(10_000, 16)
         # By name, since the list may lose an executor that is out and have it again: out since when; who came
         # back, out from when until when; every name that the list had of late.
         self.banned, self.returned, self.names = {}, {}, {}
@@ -261,6 +261,7 @@
         self.all = {id: e for id, e in self.all.items() if e.state != "gone" or e.out or e.asked}
         self.listed = sorted((e for e in self.all.values() if e.state == "healthy"), key=lambda e: e.rank)
         self.top = max((e.weight for e in self.listed), default=1)
+        self.heft = sum(e.weight for e in self.listed)
         self.groups, self.ranks = {}, {e.rank: e for e in self.all.values()}
         for e in self.listed:
             e.group = (e.zone, e.rank % self.split) if self.split else None
--- /dev/null
+++ b/tests/test_cold.py
@@ -0,0 +1,42 @@
+"""What cold executors get from all nodes together, beside N + 2 root N + 2; larger: `benchmarks.cold`.
+
+The turn in which nodes that are told at once begin is seen to in test_brain.py.
+"""
+import pytest
+
+from benchmarks.cold import Round
+from grebedyke import brain
+from grebedyke.brain import Fleet
+
+SECONDS = 18      # through the replacement, the burst and most restarts of the nodes
+
+
+def without_weights(self, e, now, *more, spare=Fleet.spare):
+    heft, self.heft = self.heft, 0
+    try:
+        return spare(self, e, now, *more)
+    finally:
+        self.heft = heft
+
+
+def with_what_was_turned_away(self, e, now, outcome, op=None, failed=Fleet.failed):
+    failed(self, e, now, outcome, op)
+    if outcome == brain.FULL:
+        self.sends.add(now)
+
+
+@pytest.mark.parametrize(("nodes", "seeds"), ((1, range(1, 7)), (5, range(1, 7)), (30, (2, 3, 7, 9))))
+def test_no_window_of_a_cold_executor_is_over_its_bound(nodes, seeds):
+    for seed in seeds:
+        played = Round(seed, nodes, SECONDS).run()
+        assert played.over == [], (seed, played.worst)
+        # Against a round in which next to nothing reaches them.
+        assert played.windows > 30 and played.done > 100
+
+
+@pytest.mark.parametrize(("name", "broken"), (
+    ("spare", lambda self, e, now, *more: True), ("spare", without_weights),
+    ("failed", with_what_was_turned_away)))
+def test_a_broken_build_is_seen(monkeypatch, name, broken):
+    monkeypatch.setattr(Fleet, name, broken)
+    assert len(Round(7, 30, SECONDS).run().over) > 4
