--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -13,8 +13,7 @@
 
 SECOND = 10_000
 # A keeper that says nothing for so long is taken for dead; what it lent and never hears of is its own again.
-PATIENCE, LEASE = SECOND // 10, 4 * SECOND
-FOREVER = 2 ** 62
+PATIENCE, LEASE, FOREVER = SECOND // 10, 4 * SECOND, 2 ** 62
 
 
 class Cutoffs:
@@ -134,24 +133,25 @@
     def warmth(self, e, now):
         return min(1.0, self.cold_from + (1 - self.cold_from) * max(now - e.born, 0) / self.ramp)
 
-    def spare(self, e, now):
+    def spare(self, e, now, size=0):
         """Rule 4 counts all nodes: each sends a young one its part of half the multiple, first by turns."""
+        if self.split or now - e.born >= self.ramp:      # who lends by a book sees all of it
+            return True
         rate = max(self.sends.total(now, 4), self.sends.total(now) / 4, 1)      # else it feeds on itself
         part = self.multiple / 2 * self.warmth(e, now) * rate
-        gap, turn = len(self.listed) * 4 * SECOND / part, (self.me + e.rank) % self.nodes / self.nodes
-        return now >= (e.sent + gap if e.sent >= e.born else e.told + gap * turn)
+        # A small one's part is smaller, and work larger than the mean has to wait for several parts.
+        gap = max(len(self.listed), self.heft / e.weight) * 4 * SECOND / part
+        turn, more = (self.me + e.rank) % self.nodes / self.nodes, max(size / (self.mean or inf), 1)
+        return now >= (e.sent + gap * more if e.sent >= e.born else e.told + gap * (turn + more - 1))
 
     def ready(self, e, now):
         if e.shut > now or e.state != "healthy" or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
-        # Who lends by a book sees all that a young one gets: its credit by warmth is enough.
-        if not self.split and now - e.born < self.ramp and not self.spare(e, now):
-            return False
         # Own work that waits there says that it is full now, whatever credit it had earned before. Begun
         # work of which no note comes: hung, cut off or dead; a slow one still sends its notes.
         gap, start = 1.4 * self.progress or 3 * SECOND, self.quick + max(x for x in (0, *e.floor) if x < inf)
-        return all(now <= (max(e.heard, f.sent) + gap if f.began else f.sent + start + f.far)
-                   for f in e.out.values())
+        return self.spare(e, now) and all(now <= (
+            max(e.heard, f.sent) + gap if f.began else f.sent + start + f.far) for f in e.out.values())
 
     def keeper(self, group, now, silent=False):
         """The node by whose book a group is lent: by hash; while no word comes of it the next one."""
@@ -201,8 +201,7 @@
             self.trims.add(now)
         # Many nodes at few slots: one forward each would be too much; credit under one rests in between. The
         # bound grows with the nodes: a start 3 s late, at a hang's end, cost one of three half a minute.
-        rest = min(int(took * max(1 / e.credit - 1, 0)), self.nodes * SECOND // 8)
-        e.shut = max(e.shut, now + rest)
+        e.shut = max(e.shut, now + min(int(took * max(1 / e.credit - 1, 0)), self.nodes * SECOND // 8))
 
     def probed(self, now, id, outcome, free, held):
         """What other nodes send is seen here alone: the report gives the work there by its slots."""
@@ -233,6 +232,7 @@
         if outcome == FULL:
             # Some turn away one operation only. Where all workers do, its work waits here: the design's hold.
             e.full[op] = now + SECOND
+            self.sends.add(now, -1)      # sent on and on under overload, it would make all parts grow
             e.credit = max(1.0, min(e.credit, e.used)) if min(e.full.values()) > now else e.credit
         elif outcome not in (CANCELLED, MOOT):
             # Written off, but tried again at a bounded, growing distance with a single forward. Errors too:
@@ -276,9 +276,8 @@
 
     def books(self):
         """For the process that goes on with this node's work; to the rule both are one, so this one stops."""
-        books = self.took.buckets(), self.again.buckets(), self.took.span, self.shut
-        self.shut = FOREVER
-        return books
+        shut, self.shut = self.shut, FOREVER
+        return self.took.buckets(), self.again.buckets(), self.took.span, shut
 
     def alone(self, now):
         """The process that had it has gone, and what it sent is unknown: none for a window."""
@@ -636,7 +635,8 @@
 
     def suits(self, inv, e, now):
         return ((not self.cutoffs.best or e.tier == inv.tier) and e.full.get(inv.op, 0) <= now
-                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now)))
+                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now))
+                and (inv.size <= self.fleet.mean or self.fleet.spare(e, now, inv.size)))
 
     def choose(self, inv, free, now, thin):
         fleet = self.fleet
