--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -80,6 +80,17 @@
                     raise
 
     async def launch(self, name):
+        process = await self.spawn(name)
+        end = asyncio.get_running_loop().time() + STARTS
+        while (await talk.call(self.nodes[name], "GET /up HTTP/1.1", wait=0.5))[0] != 200:
+            if process.returncode is not None or asyncio.get_running_loop().time() > end:
+                text = Path(self.folder.name, f"{name}.log").read_text(errors="replace").strip()
+                last = text.splitlines()[-1] if text else "it said nothing"
+                raise OSError("node %s at %s:%d did not start: %s" % (name, *self.nodes[name], last))
+            await asyncio.sleep(0.05)
+
+    async def spawn(self, name):
+        """Starts a node's process at the address that it has, and waits for nothing."""
         me = [*self.nodes].index(name)
         path = Path(self.folder.name, f"{name}.json")
         path.write_text(json.dumps({
@@ -94,13 +105,7 @@
             process = await asyncio.create_subprocess_exec(
                 *self.command, env=environ, stderr=log, stdin=asyncio.subprocess.DEVNULL)
         self.processes[name] = process
-        end = asyncio.get_running_loop().time() + STARTS
-        while (await talk.call(self.nodes[name], "GET /up HTTP/1.1", wait=0.5))[0] != 200:
-            if process.returncode is not None or asyncio.get_running_loop().time() > end:
-                text = Path(self.folder.name, f"{name}.log").read_text(errors="replace").strip()
-                last = text.splitlines()[-1] if text else "it said nothing"
-                raise OSError("node %s at %s:%d did not start: %s" % (name, *self.nodes[name], last))
-            await asyncio.sleep(0.05)
+        return process
 
     async def drain(self, name):
         """As a deploy takes one away: told as draining, it finishes what it has."""
