--- a/benchmarks/restarts.py
+++ b/benchmarks/restarts.py
@@ -13,12 +13,11 @@
 import os
 import sys
 from concurrent.futures import ProcessPoolExecutor
-from contextlib import suppress
-from pathlib import Path
 from typing import NamedTuple
 
 import click
 
+from benchmarks.capacity import cpu
 from grebedyke.load import shape
 from grebedyke.load.clients import Clients
 from grebedyke.load.fleet import Fleet
@@ -90,14 +89,6 @@
         return float("inf"), 0.0
 
 
-def cpu(pid):
-    """Seconds of CPU that a process has used."""
-    with suppress(OSError):
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-    return 0.0
-
-
 def hand_in(nodes, seed, rate, seconds):
     """In a process of its own, as it would make the starts look slow: (clock, node, succeeded) of each."""
     async def play():
