--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -168,7 +168,7 @@
         e.wait += 0.3 * (wait - e.wait)
         if f.told is not None:
             self.starts[f.told] += 1
-            self.told[f.told] += max(0.1, 1 / self.starts[f.told]) * ((wait <= self.quick) - self.told[f.told])
+            self.told[f.told] += ((wait <= self.quick) - self.told[f.told]) / min(self.starts[f.told], 10)
             if not f.told:
                 self.queue += 0.1 * (f.ahead - self.queue) if self.queue else f.ahead
             if f.guess > 0:
