--- a/grebedyke/brain.py
+++ b/grebedyke/brain.py
@@ -132,25 +132,26 @@
     def warmth(self, e, now):
         return min(1.0, self.cold_from + (1 - self.cold_from) * max(now - e.born, 0) / self.ramp)
 
-    def spare(self, e, now, size=0):
+    def spare(self, e, now):
         """Rule 4 counts all nodes: each sends a young one its part of half the multiple, first by turns."""
-        if self.split or now - e.born >= self.ramp:      # who lends by a book sees all of it
-            return True
         rate = max(self.sends.total(now, 4), self.sends.total(now) / 4, 1)      # else it feeds on itself
         part = self.multiple / 2 * self.warmth(e, now) * rate
-        # A small one's part is smaller, and work larger than the mean has to wait for several parts.
+        # By the list's weights where it is a small one: it falls at less than the mean does.
         gap = max(len(self.listed), self.heft / e.weight) * 4 * SECOND / part
-        turn, more = (self.me + e.rank) % self.nodes / self.nodes, max(size / (self.mean or inf), 1)
-        return now >= (e.sent + gap * more if e.sent >= e.born else e.told + gap * (turn + more - 1))
+        turn = (self.me + e.rank) % self.nodes / self.nodes
+        return now >= (e.sent + gap if e.sent >= e.born else e.told + gap * turn)
 
     def ready(self, e, now):
         if e.shut > now or e.state != "healthy" or e.used >= max(1.0, e.credit * self.warmth(e, now)):
             return False
+        # Who lends by a book sees all that a young one gets: its credit by warmth is enough.
+        if not self.split and now - e.born < self.ramp and not self.spare(e, now):
+            return False
         # Own work that waits there says that it is full now, whatever credit it had earned before. Begun
         # work of which no note comes: hung, cut off or dead; a slow one still sends its notes.
         gap, start = 1.4 * self.progress or 3 * SECOND, self.quick + max(x for x in (0, *e.floor) if x < inf)
-        return self.spare(e, now) and all(now <= (
-            max(e.heard, f.sent) + gap if f.began else f.sent + start + f.far) for f in e.out.values())
+        return all(now <= (max(e.heard, f.sent) + gap if f.began else f.sent + start + f.far)
+                   for f in e.out.values())
 
     def keeper(self, group, now, silent=False):
         """The node by whose book a group is lent: by hash; while no word comes of it the next one."""
@@ -636,8 +637,7 @@
 
     def suits(self, inv, e, now):
         return ((not self.cutoffs.best or e.tier == inv.tier) and e.full.get(inv.op, 0) <= now
-                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now))
-                and (inv.size <= self.fleet.mean or self.fleet.spare(e, now, inv.size)))
+                and inv.op.kind in (None, e.kind) and (not inv.forwards or self.allowed(inv, e, now)))
 
     def choose(self, inv, free, now, thin):
         fleet = self.fleet
