--- /dev/null
+++ b/benchmarks/roles.py
@@ -0,0 +1,498 @@
+"""What each role of a fleet takes and holds, by the real parts: words, bytes, CPU, memory. One case a call.
+
+Agreement, maintenance and limits run in the simulated world, with the words' real framing; an executor's
+place in a node's books in a real Dispatcher. CPU is that of the thread alone, of the parts and the framing:
+no socket, no loop (`datagrams` has these). Each case gives a list of `row`s.
+"""
+
+import asyncio
+import gc
+import socket
+import sys
+from collections import Counter
+from heapq import heappop, heappush
+from statistics import median
+from time import thread_time
+from types import BuiltinFunctionType, FunctionType, ModuleType
+
+import orjson
+
+from grebedyke import ledger
+from grebedyke.agreement import frames
+from grebedyke.agreement.part import Agreement
+from grebedyke.ledger import Chance
+from grebedyke.load import fleet as plain, shape
+from grebedyke.maintenance.part import Maintenance
+from grebedyke.rig.limited import Asked
+from grebedyke.rig.world import GRACE, RAMP, SECOND, WINDOW, World
+from grebedyke.service.configuration import open_dispatcher, terms
+from grebedyke.service.log import Gauges
+from grebedyke.service.turn import Turn
+from grebedyke.shares.limits import OPEN, RATE, Limit
+from grebedyke.shares.part import Sharing
+from grebedyke.standin.discovery import Discovery
+from grebedyke.wire import http
+from grebedyke.wire.discovery import entries
+from grebedyke.wire.peers import Peers
+
+# As the program has them without further word: fleet.waitMs, maintenance.leaseMs, shares.leaseMs.
+WAIT, LEASE = SECOND // 5, 2 * SECOND
+MARK = frames.mark("fleet")
+# Looking at that clock takes longer than many a call.
+LOOK = median(-thread_time() + thread_time() for _ in range(999))
+NOT_STATE = ModuleType, type, FunctionType, BuiltinFunctionType, Chance
+
+
+def row(role, against, size, **quantities):
+    return {"role": role, "against": against, "size": size, "quantities": quantities, "unit": unit()}
+
+
+def unit():
+    """Seconds of CPU for the stated piece of work: a thousand asks for 34 limits, framed and read."""
+    ask, whole = ["s", 7, 1, 99, 6, 5, [[100 * i, 1_000 * i, i] for i in range(34)], []], frames.Whole(MARK)
+    took = []
+    for _ in range(5):
+        start = thread_time()
+        for number in range(200):
+            for frame in frames.pack(MARK, number, ask):
+                whole.take(0, frame)
+        took.append((thread_time() - start) * 5)
+    return min(took)
+
+
+def weigh(*things, but=()):
+    """(objects, bytes) reached from there, without code, and without what is in `but`.
+
+    >>> weigh([1000, 1000.5], but=[1000.5])[0], weigh({"a": [2000, 3000]})[0]
+    (2, 5)
+    """
+    seen, count, size = {id(x) for x in but}, 0, 0
+    left = list(things)
+    while left:
+        thing = left.pop()
+        if id(thing) in seen or isinstance(thing, NOT_STATE):
+            continue
+        seen.add(id(thing))
+        count, size = count + 1, size + sys.getsizeof(thing)
+        left += gc.get_referents(thing)
+        if isinstance(thing, dict):
+            left += thing  # texts as keys are not among a table's referents
+    return count, size
+
+
+# The simulated world.
+
+
+class Timed:
+    """A part whose CPU is kept by `spent`; the world's own work is none of it."""
+
+    def __init__(self, part, spent):
+        self.part, self.spent = part, spent
+
+    def __getattr__(self, name):
+        return getattr(self.part, name)
+
+    def timed(self, call, *args):
+        start = thread_time()
+        try:
+            return call(*args)
+        finally:
+            self.spent[0] += thread_time() - start - LOOK
+
+    def heard(self, now, by, message):
+        return self.timed(self.part.heard, now, by, message)
+
+    def decide(self, now):
+        return self.timed(self.part.decide, now)
+
+    def busy(self, now, names):
+        self.timed(self.part.busy, now, names)
+
+
+class Measured(World):
+    """Nodes with agreement, and as told: maintenance, so many limits, `wanted` of them at each node; `full`:
+    all are asked for beyond what there is, so that each node asks again as soon as it may.
+
+    Nothing is judged here. What went over each node's link counts with its framing, without UDP's and IP's
+    28 bytes a datagram.
+    """
+
+    def __init__(self, nodes, executors=24, limits=0, wanted=None, full=False, lease=LEASE, maintenance=True,
+                 seed=1):
+        self.lease, self.many, self.maintenance = lease, limits, maintenance
+        self.wanted, self.full = limits if wanted is None else min(wanted, limits), full
+        super().__init__(seed, nodes=nodes, voters=5, executors=executors, faults=0)
+        self.wholes = [frames.Whole(MARK) for _ in range(nodes)]
+        self.spent, self.number = [[0.0] for _ in range(nodes)], 0
+        self.counts, self.regions, self.by_second = Counter(), None, None
+        for host in self.hosts:
+            self.later(self.random.randrange(1, SECOND), host.start)
+        if limits:
+            self.later(1, self.work)
+
+    def parts_for(self, host):
+        me, n = host.me, self.count
+        agreement = Agreement(Chance(f"{self.seed} {host.life}"), "f", me, n, self.voters, host.life, WAIT)
+        parts = [agreement]
+        if self.maintenance:
+            parts.append(Maintenance(agreement, "f", me, n, host.life, self.lease, self.drift, GRACE, RAMP,
+                                     WINDOW, ("zone",), None))
+        if self.many:
+            limits = [
+                Limit(f"l{i}", RATE, 100_000 * n, 4 * n, 100, None, f"op{i}", False) if i % 2
+                else Limit(f"l{i}", OPEN, 4 * n, 0, 1, None, f"op{i}", False)
+                for i in range(self.many)
+            ]
+            parts.append(Sharing(agreement, me, n, host.life, limits, self.lease, self.drift, SECOND,
+                                 host.clock()))
+        return [Timed(part, self.spent[me]) for part in parts]
+
+    def work(self):
+        self.later(SECOND // 4, self.work)
+        for host in self.hosts:
+            if not host.alive:
+                continue
+            now, gate = host.clock(), host.parts[-1].gate
+            meters = [*gate.meters.values()]
+            for k in range(self.wanted):
+                i = (host.me + k) % self.many
+                if self.full or i % 2 or meters[i].used < 2:
+                    gate.take(now, Asked(f"op{i}", None))
+            host.pull()
+
+    def voted(self, host):
+        """Nobody judges here."""
+
+    learned = None
+
+    def carry(self, by, to, message):
+        self.number += 1
+        start = thread_time()
+        try:
+            pieces = frames.pack(MARK, self.number, message)
+        except ValueError:
+            self.done["too long"] += 1
+            return
+        self.spent[by][0] += thread_time() - start - LOOK
+        size = sum(map(len, pieces))
+        self.count_up(by, "out", len(pieces), size)
+        if self.regions and self.regions(by) != self.regions(to):
+            return
+        self.later(1 + int(self.delay * self.random.expovariate(1)), self.arrive, by, to, pieces)
+        self.count_up(to, "in", len(pieces), size)
+
+    def count_up(self, node, way, pieces, size):
+        self.counts[node, "bytes " + way] += size
+        self.counts[node, "messages " + way] += pieces
+        if self.by_second is not None:
+            self.by_second[self.now // SECOND, node, way] += size
+
+    def arrive(self, by, to, pieces):
+        start = thread_time()
+        for piece in pieces:
+            message = self.wholes[to].take(by, piece)
+        self.spent[to][0] += thread_time() - start - LOOK
+        if message is not None:
+            self.hosts[to].heard(by, message)
+
+    def measure(self, span):
+        """A list by node of what it took a second through so long: words, bytes, CPU."""
+        counts, spent, start = Counter(self.counts), [s[0] for s in self.spent], self.now
+        self.run(self.now + span)
+        seconds = (self.now - start) / SECOND
+        return [
+            {"bytes out": (self.counts[i, "bytes out"] - counts[i, "bytes out"]) / seconds,
+             "bytes in": (self.counts[i, "bytes in"] - counts[i, "bytes in"]) / seconds,
+             "messages out": (self.counts[i, "messages out"] - counts[i, "messages out"]) / seconds,
+             "messages in": (self.counts[i, "messages in"] - counts[i, "messages in"]) / seconds,
+             "CPU": (self.spent[i][0] - spent[i]) / seconds}
+            for i in range(self.count)
+        ]
+
+    def weighed(self, node):
+        host = self.hosts[node]
+        objects, size = weigh(*(part.part for part in host.parts), but=(self, host, *self.hosts, *self.spent))
+        return {"objects": objects, "state": size}
+
+    def role(self, rows, nodes, busiest=False):
+        """Of these nodes the median one by bytes, or the busiest, with its state."""
+        nodes = sorted(nodes, key=lambda i: rows[i]["bytes out"] + rows[i]["bytes in"])
+        node = nodes[-1] if busiest else nodes[len(nodes) // 2]
+        return rows[node] | self.weighed(node)
+
+
+def quiet(world):
+    """Founded, its holder chosen, and granting."""
+    world.run(2 * SECOND + 4 * world.lease)
+    return world
+
+
+def idle(against, size, nodes, span, **shape):
+    """Agreement and maintenance with no plan open: a node, and a voter."""
+    world = quiet(Measured(nodes, **shape))
+    rows = world.measure(span)
+    return [row("voter", against, size, **world.role(rows, world.voters)),
+            row("node: agreement and maintenance", against, size, **world.role(rows, range(5, nodes)))]
+
+
+def limited(against, size, nodes, span, limits=34, **shape):
+    """Limits wanted at each node: a node, and the holder."""
+    world = quiet(Measured(nodes, limits=limits, maintenance=False, executors=0, **shape))
+    rows, more = world.measure(span), ", all full" if world.full else ""
+    holder, = (h.me for h in world.hosts if h.parts[-1].sure(h.clock()))
+    assert any(m.share for h in world.hosts for m in h.parts[-1].gate.meters.values()), "nothing is granted"
+    return [row("holder of limits" + more, against, size, **world.role(rows, [holder])),
+            row("node: limits" + more, against, size, **world.role(rows, range(5, nodes)))]
+
+
+def planned(against, size, nodes, span, length, executors=None, most=4, **shape):
+    """A plan over so many executors from its giving on: who drives it, another voter, a node."""
+    world = quiet(Measured(nodes, executors=max(executors or length, length), **shape))
+    world.spec.told = world.spec.answered = lambda *args: None
+    world.later(1, world.operate, SECOND // 10)
+    names = [e.name for e in world.executors][:length]
+    plan = {"machines": names, "most": most, "workMs": 60_000, "leastShare": 0.0}
+    world.call(b"/v1/maintenance/plan", plan)
+    rows, rev = world.measure(span), max(h.parts[1].board["rev"] for h in world.hosts if h.parts[1].board)
+    changes = rev / (span / SECOND) * 3600
+    told = [row("driver of a plan", against, size, **world.role(rows, world.voters, True), changes=changes,
+                undelivered=world.done["too long"]),
+            row("voter in a plan", against, size, **world.role(rows, world.voters)),
+            row("node in a plan", against, size, **world.role(rows, range(5, nodes)))]
+    return told
+
+
+def given(against, size, nodes, span, an_hour, length):
+    """A configuration as an agreed value of so many bytes, changed so often by node 0: a trial, no part."""
+    world = quiet(Measured(nodes, maintenance=False, executors=0))
+    value = {f"key {i}": "x" * 40 for i in range(max(length // 50, 1))}
+    giver, wait, made = world.hosts[0], 3600 * SECOND // an_hour, []
+
+    def change():
+        i = len(made) % len(value)
+        made.append(i)
+        giver.parts[0].change(giver.clock(), "configuration", lambda old: (
+            {**(old or value), f"key {i}": f"{len(made):040}"}, True), lambda now, result: None)
+        giver.pull()
+        world.later(wait, change)
+
+    change()
+    world.run(world.now + 2 * SECOND)
+    rows = world.measure(max(span, 4 * wait))
+    per = 3600 / an_hour  # seconds a change: words and bytes a change are what tells them apart
+    return [row("giver of an agreed configuration", against, size, **world.role(rows, [0]),
+                **{"bytes a change": rows[0]["bytes out"] * per, "CPU a change": rows[0]["CPU"] * per}),
+            row("voter, agreed configuration", against, size, **world.role(rows, range(1, 5))),
+            row("node, agreed configuration", against, size, **world.role(rows, range(5, nodes)))]
+
+
+def scene(against, size, nodes, what, span=12 * SECOND):
+    """The dearest second of each role, by the simulated clock, and when all is in force again.
+
+    `what`: "restart of all", or "regions cut", three voters in the one and two in the other, and its end.
+    """
+    world = quiet(Measured(nodes, limits=34, full=True))
+    if what == "restart of all":
+        for host in world.hosts:
+            host.end()
+            world.later(world.random.randrange(1, SECOND), host.start)
+    else:
+        # Voters 0 to 4: three of them, and three of five nodes, on one side.
+        world.regions = lambda node: node % 5 in (0, 2, 4)
+        world.run(world.now + 3 * world.lease)
+        world.regions = None
+    start, spent = world.now, [s[0] for s in world.spent]
+    world.by_second, whole = Counter(), None
+    while world.now < start + span:
+        world.run(world.now + SECOND // 2)
+        if whole is None and all(
+            h.alive and h.parts[1].sure(h.clock()) and h.parts[2].answered
+            and any(m.held(h.clock()) for m in h.parts[2].gate.meters.values()) for h in world.hosts
+        ):
+            whole = (world.now - start) / SECOND
+    worst = {}
+    for (_, node, way), n in world.by_second.items():
+        worst[node, way] = max(worst.get((node, way), 0), n)
+    holder = max(range(nodes), key=lambda i: worst.get((i, "out"), 0))
+    middle = sorted(range(5, nodes), key=lambda i: worst.get((i, "in"), 0))[(nodes - 5) // 2]
+
+    def told(role, node):
+        return row(f"{what}: {role}", against, size, **{
+            "bytes out": worst.get((node, "out"), 0), "bytes in": worst.get((node, "in"), 0),
+            "CPU": (world.spent[node][0] - spent[node]) / (span / SECOND), "whole after": whole or 0})
+
+    return [told("busiest", holder), told("node", middle)]
+
+
+# A real Dispatcher.
+
+
+def settings(nodes=760, me=5, operations=2, tenants=34, probes=True):
+    ops = [shape.Operation(f"op{i}", ("keyed", "unsafe", "safe")[i % 3]) for i in range(operations)]
+    conf = plain.settings(ops, nodes, me, "a", "abcde")
+    for told in conf["operations"]:
+        # Urgent work starts within 7 s, and a task runs for minutes.
+        told |= {"latencyObjectiveMs": 7_000, "clientTimeoutMs": 600_000}
+    conf["limits"]["probes"] = probes
+    conf["parties"] = [{"name": f"t{i}", "quotaRps": 5} for i in range(tenants)]
+    return conf
+
+
+def listing(executors, discovery=None):
+    """As discovery gives it."""
+    discovery = discovery or Discovery()
+    for i in range(executors):
+        address = f"10.0.{i // 250}.{i % 250}", 9_000
+        discovery.put(discovery.row(f"worker-{i:04}", address, "abcde"[i % 5], "full"))
+    return orjson.dumps(discovery.listing())
+
+
+class Books:
+    """A Dispatcher with as much of a host round it as sees to it that work starts and ends."""
+
+    def __init__(self, executors, operations=2, tenants=34, nodes=760, probes=True):
+        conf = terms(settings(nodes, operations=operations, tenants=tenants, probes=probes))
+        self.d, self.now, self.events, self.count, self.took = open_dispatcher("b", conf), SECOND, [], 0, 0.0
+        self.operations, self.tenants, self.run, self.out = operations, tenants, {}, 0
+        self.rows = [row[:1] + row[2:] for row in entries(orjson.loads(listing(executors)))]
+        self.tell(self.d.listed, True, self.rows)
+
+    def tell(self, call, *args):
+        start = thread_time()
+        call(self.now, *args)
+        decisions = []
+        while (decision := self.d.decide(self.now)) is not None:
+            decisions.append(decision)
+        self.took += thread_time() - start
+        for kind, *rest in decisions:
+            if kind == "forward":
+                self.forward(*rest)
+            elif kind == "probe":
+                self.later(20, self.d.probed, rest[0], ledger.OK, 4, 0)
+            elif kind == "wake":
+                self.later(max(rest[0] - self.now, 1), self.nothing)
+
+    def nothing(self, now):
+        """A wake that is due."""
+
+    def forward(self, id, executor, allowed):
+        n, self.out = len(self.d.invs[id].forwards) - 1, self.out + 1
+        self.later(30, self.d.started, id, n)
+        if self.run[id]:
+            self.later(30 + self.run[id], self.end, id, n)
+
+    def end(self, now, id, n):
+        self.d.ended(now, id, n, ledger.OK, True, None)
+        self.out -= 1
+        del self.run[id]
+
+    def later(self, wait, call, *args):
+        self.count += 1
+        heappush(self.events, (self.now + wait, self.count, call, args))
+
+    def until(self, when):
+        while self.events and self.events[0][0] <= when:
+            self.now, _, call, args = heappop(self.events)
+            self.tell(call, *args)
+        self.now = when
+
+    def take(self, run):
+        self.count += 1
+        id = f"i{self.count}"
+        self.run[id] = run
+        op, tenant = f"op{self.count % self.operations}", f"t{self.count % self.tenants}"
+        self.tell(self.d.taken, id, op, tenant, self.now + 600 * SECOND, 0, 1)
+
+    def fill(self, forwards):
+        """So many run and do not end."""
+        for _ in range(4 * forwards):
+            if self.out >= forwards:
+                break
+            self.take(None)
+            self.until(self.now + SECOND // 200)
+        self.until(self.now + SECOND)
+        return self.out
+
+
+def placed(against, size, executors=760, forwards=100, operations=2, tenants=34, nodes=760, probes=True,
+           invocations=300, span=10):
+    """Memory and CPU of one node's books, and of an invocation through them."""
+    name = "an executor's place in the books" + ("" if probes else ", no probes")
+    books = Books(executors, operations, tenants, nodes, probes)
+    empty = weigh(books.d)
+    out = books.fill(forwards) if forwards else 0
+    books.took, least = 0.0, []
+    objects, state = weigh(books.d)
+    books.until(books.now + span * SECOND)
+    idle = books.took / span
+    for _ in range(5):
+        books.took, start = 0.0, books.now
+        for _ in range(invocations // 5):
+            books.take(SECOND // 2)
+            books.until(books.now + SECOND // 10)
+        least.append(max(books.took - idle * (books.now - start) / SECOND, 1e-9) / (invocations // 5))
+    books.took, start = 0.0, books.now
+    for i in range(20):
+        e = books.rows[i * 7 % len(books.rows)]
+        books.tell(books.d.listed, False, [(*e[:5], 10 * i + 1, e[6])])
+    change = books.took / 20
+    return [row(name, against, size, objects=objects, state=state, **{
+        "state for forwards": state - empty[1], "forwards": out, "CPU": idle,
+        "CPU an invocation": median(least), "CPU a change of the list": change})]
+
+
+def listed(against, size):
+    """A whole list: bytes of the answer, CPU to take it in; a change of one; the call itself."""
+    text, took, books = listing(size), [], Books(size)
+    for _ in range(5):
+        start = thread_time()
+        rows = entries(orjson.loads(text))
+        parsed = thread_time() - start
+        books.took = 0.0
+        books.tell(books.d.listed, True, [r[:1] + r[2:] for r in rows])
+        took.append(parsed + books.took)
+    call = http.request(b"GET", b"/discovery/hosts?after=12345&wait_ms=2000", b"10.0.0.1:9000")
+    return [row("discovery, for each node", against, size, **{
+        "bytes of a whole list": len(text), "CPU of a whole list": min(took), "bytes of a call": len(call),
+        "bytes of a change": len(listing(1))})]
+
+
+# What a datagram costs through the node's loop.
+
+
+def datagrams(against, size, count=4_000):
+    """CPU of one word of so many bytes out of one node's socket and into another's turn, both in here."""
+    async def play():
+        loop, heard = asyncio.get_running_loop(), []
+        turn = Turn(loop, Gauges())
+        turn.decide = turn.carry = lambda *args: None
+        done = asyncio.Event()
+
+        def take(now, by, data):
+            heard.append(by)
+            if len(heard) >= wanted[0]:
+                done.set()
+
+        addresses = []
+        for _ in range(2):
+            with socket.socket(type=socket.SOCK_DGRAM) as s:
+                s.bind(("127.0.0.1", 0))
+                addresses.append(s.getsockname())
+        both, wanted = [Peers(loop, turn, take, 1_200) for _ in range(2)], [0]
+        for i, peers in enumerate(both):
+            peers.move(addresses, i)
+        await asyncio.gather(*(peers.task for peers in both))
+        start = thread_time()
+        for _ in range(count // 10):
+            # Ten in a turn: a voter of hundreds of nodes finds some whenever it looks.
+            wanted[0] = len(heard) + 10
+            done.clear()
+            for _ in range(10):
+                both[0].send(1, bytes(size))
+            await asyncio.wait_for(done.wait(), 5)
+        took = thread_time() - start
+        for peers in both:
+            peers.close()
+        return took / count
+
+    return [row("a datagram through the loop", against, size, CPU=asyncio.run(play()))]
