--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,8 +1,9 @@
 """What each role of a fleet costs by its size: slopes, and what they come to at the size that is expected.
 
-    python -m benchmarks.fleet [--quick] [--beside 4] [--to FOLDER] [--plots FOLDER]
+    python -m benchmarks.fleet [--quick] [--beside 4] [--to FOLDER] [--plots FOLDER] [--page docs/CAPACITY.md]
 
-Writes capacity.md (tables) and capacity.json (each run) into FOLDER; plots need the extra `plots`. What is
+Writes capacity.md (tables) and capacity.json (each run) into FOLDER, the tables also into a page, between its
+marks; plots need the extra `plots`. Some seven minutes on four cores. What is
 measured, and what is left out of it: benchmarks/roles.py and benchmarks/processes.py. --quick: a minute,
 small sizes, for a look; what it reads off lies far beyond them.
 """
@@ -29,10 +30,14 @@
 }
 # What control may take at a node: bytes a second in and out, of a core, bytes of memory.
 MAY = {"bytes": 3_000, "CPU": 0.011, "resident": 64_000_000}
-# Of each role in the tables; the rest is in the JSON.
-SHOWN = ("bytes out", "bytes in", "messages out", "messages in", "CPU", "state", "resident", "bytes a change",
-         "CPU a change", "CPU an invocation", "CPU a change of the list", "state for forwards",
-         "bytes of a whole list", "CPU of a whole list", "whole after", "changes", "undelivered")
+# Of each role in the tables of slopes; the rest is in the JSON. What comes in goes much as what goes out.
+SHOWN = ("bytes out", "messages out", "CPU", "state", "resident", "bytes a change", "CPU a change",
+         "CPU an invocation", "CPU a change of the list", "state for forwards", "bytes of a whole list",
+         "CPU of a whole list", "whole after")
+# What does not grow: most over least; and of CPU, which swings with the machine, the exponent.
+STILL, FLAT = 1.1, 0.12
+SCENES = "restart of all", "regions cut"
+MARKS = "<!-- figures: python -m benchmarks.fleet -->\n", "<!-- end of figures -->\n"
 
 
 def cases(quick):
@@ -71,7 +76,7 @@
          length=2_000)
     over(roles.given, "bytes of the value", (500, 2_000, 8_000, 30_000), nodes=mid, span=span, an_hour=600,
          length=None)
-    for what in ("restart of all", "regions cut"):
+    for what in SCENES:
         over(roles.scene, "nodes", nodes[:2] if quick else (34, 76, 190, 380), nodes=None, what=what)
     books = (10, 30, 100, 240) if quick else (24, 76, 240, 760, 2_400)
     for probes in (True, False):
@@ -150,35 +155,40 @@
     """One quantity's slope in a cell.
 
     >>> shown("bytes out", [10, 100], [70, 520], fit([10, 100], [70, 520])), shown("x", [1, 2], [5, 5], None)
-    ('70 to 520; n^0.87 (0%) or 20 + 5n (0%)', '5 to 5')
+    ('70 to 520; n^0.87 (0%) or 20 + 5 x n (0%)', '5 to 5')
     """
     ends = f"{figure(name, values[0])} to {figure(name, values[-1])}"
     if slope is None:
         return ends
-    if max(values) <= 1.05 * min(values):
-        return f"{figure(name, values[-1])}, the same at all sizes"
-    each = f"{'+' if slope.each >= 0 else '-'} {figure(name, abs(slope.each))}n"
+    each = f"{'+' if slope.each >= 0 else '-'} {figure(name, abs(slope.each))} x n"
     return (f"{ends}; n^{slope.exponent:.2f} ({slope.left:.0%}) or {figure(name, slope.floor)} {each} "
             f"({slope.line_left:.0%})")
 
 
 def table(told):
-    """Slopes as Markdown; a row for each role, thing it grows with, and quantity."""
-    yield "| role, with | grows with n, sizes run | quantity | least to most; slope (left over) | at n |"
+    """Slopes as Markdown; a row for each role, thing it grows with, and quantity that does grow."""
+    yield "| role | grows with n, sizes run | quantity | least to most; slope (left over) | at n |"
     yield "| --- | --- | --- | --- | --- |"
     for (role, against), quantities in told.items():
-        head = f"{role} | {against}: "
+        head, still = f"{role} | {against}: ", []
         for name, (sizes, values, slope) in quantities.items():
             if name not in SHOWN or not any(values):
                 continue
+            flat = slope and abs(slope.exponent) < FLAT and name.startswith("CPU")
+            if len(values) > 1 and (max(values) <= STILL * min(values) or flat):
+                still.append(f"{name} {figure(name, values[-1])}")
+                continue
             if head:
-                head += ", ".join(f"{size:g}" for size in sizes)
+                head += ", ".join(f"{size:,g}" for size in sizes)
             at = ""
             if slope:
                 n, (value, beyond) = EXPECTED[against], read_off(slope, EXPECTED[against])
                 at = f"{n:,}: {figure(name, value)}{' *' if beyond else ''}"
             yield f"| {head or '|'} | {name} | {shown(name, sizes, values, slope)} | {at} |"
             head = ""
+        if still:
+            head = head and head + ", ".join(f"{size:,g}" for size in sizes)
+            yield f"| {head or '|'} | does not grow | {', '.join(still)} | |"
 
 
 def at_size(told):
@@ -235,20 +245,22 @@
         import matplotlib
     except ImportError:
         raise click.UsageError("plots need matplotlib: pip install grebedyke[plots]") from None
+    # Text as text, and no date: a plot of the same figures is the same file.
     matplotlib.use("svg")
+    matplotlib.rcParams |= {"svg.fonttype": "none", "svg.hashsalt": "grebedyke"}
     from matplotlib import pyplot
 
     for name, limit in (("bytes out", MAY["bytes"]), ("CPU", MAY["CPU"]), ("state", MAY["resident"])):
         figure_, axes = pyplot.subplots(figsize=(7, 4.5))
         for (role, against), quantities in told.items():
-            if against == "nodes" and name in quantities and quantities[name][2] and ": busiest" not in role:
+            if against == "nodes" and quantities.get(name, (0, 0, 0))[2] and not role.startswith(SCENES):
                 sizes, values, _ = quantities[name]
                 axes.loglog(sizes, values, "o-", label=role, markersize=3, linewidth=1)
         axes.axhline(limit, color="black", linestyle="--", linewidth=1)
         axes.set(xlabel="nodes", ylabel=name + (" a second" if "bytes" in name else ""))
         axes.legend(fontsize=6)
         figure_.tight_layout()
-        figure_.savefig(Path(folder, f"{name.replace(' ', '-')}.svg"))
+        figure_.savefig(Path(folder, f"{name.replace(' ', '-')}.svg"), metadata={"Date": None})
         pyplot.close(figure_)
 
 
@@ -257,8 +269,9 @@
 @click.option("--beside", default=4, show_default=True, type=click.IntRange(1, 8), help="Cases at a time.")
 @click.option("--to", default=".", show_default=True, type=click.Path(file_okay=False))
 @click.option("--plots", type=click.Path(file_okay=False), help="Where plots go; none without it.")
+@click.option("--page", "into", type=click.Path(exists=True, dir_okay=False), help="A page for the tables.")
 @click.option("--again", type=click.Path(exists=True, dir_okay=False), help="Tables of a JSON file, no runs.")
-def main(quick, beside, to, plots, again):
+def main(quick, beside, to, plots, into, again):
     start, started = time.monotonic(), machine()
     if again:
         told = json.loads(Path(again).read_text())
@@ -272,6 +285,12 @@
     if not again:
         Path(to, "capacity.json").write_text(json.dumps(
             {"took": took, "machine": state, "argv": sys.argv[1:], "rows": rows}, indent=0))
+    if into:
+        before, _, rest = Path(into).read_text().partition(MARKS[0])
+        after = rest.partition(MARKS[1])[2]
+        if not after:
+            raise click.UsageError(f"{into} has no marks to put the tables between")
+        Path(into).write_text(before + MARKS[0] + text + MARKS[1] + after)
     if plots:
         Path(plots).mkdir(parents=True, exist_ok=True)
         drawn(slopes(rows), plots)
