--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -64,7 +64,7 @@
     over(roles.planned, "plan length", (8, 24, 80) if quick else (8, 24, 76, 240, 760), nodes=base,
          span=2 * span, length=None)
     over(roles.planned, "executors", executors, nodes=base, span=2 * span, length=10, executors=None)
-    over(roles.planned, "most out at once", (1, 4, 16), nodes=base, span=2 * span, length=48, most=None)
+    over(roles.planned, "most out at once", (1, 2, 4, 16), nodes=base, span=2 * span, length=48, most=None)
     over(roles.idle, "nodes", nodes, nodes=None, span=span)
     over(roles.idle, "executors", executors, nodes=base, span=span, executors=None)
     for size in (1, 2, 5) if quick else (0.5, 1, 2, 5, 10):
@@ -251,14 +251,15 @@
     from matplotlib import pyplot
 
     for name, limit in (("bytes out", MAY["bytes"]), ("CPU", MAY["CPU"]), ("state", MAY["resident"])):
-        figure_, axes = pyplot.subplots(figsize=(7, 4.5))
+        figure_, axes = pyplot.subplots(figsize=(8, 4.5))
+        axes.set_prop_cycle(color=pyplot.get_cmap("tab20").colors)
         for (role, against), quantities in told.items():
             if against == "nodes" and quantities.get(name, (0, 0, 0))[2] and not role.startswith(SCENES):
                 sizes, values, _ = quantities[name]
                 axes.loglog(sizes, values, "o-", label=role, markersize=3, linewidth=1)
         axes.axhline(limit, color="black", linestyle="--", linewidth=1)
         axes.set(xlabel="nodes", ylabel=name + (" a second" if "bytes" in name else ""))
-        axes.legend(fontsize=6)
+        axes.legend(fontsize=7, loc="center left", bbox_to_anchor=(1, 0.5))
         figure_.tight_layout()
         figure_.savefig(Path(folder, f"{name.replace(' ', '-')}.svg"), metadata={"Date": None})
         pyplot.close(figure_)
