--- a/benchmarks/roles.py
+++ b/benchmarks/roles.py
@@ -145,10 +145,12 @@
 
     def parts_for(self, host):
         me, n = host.me, self.count
-        agreement = Agreement(Chance(f"{self.seed} {host.life}"), "f", me, n, self.voters, host.life, WAIT)
+        # As long as a real process's number, which each ask and ballot has in it.
+        process = host.life << 44 | self.random.getrandbits(44)
+        agreement = Agreement(Chance(f"{self.seed} {host.life}"), "f", me, n, self.voters, process, WAIT)
         parts = [agreement]
         if self.maintenance:
-            parts.append(Maintenance(agreement, "f", me, n, host.life, self.lease, self.drift, GRACE, RAMP,
+            parts.append(Maintenance(agreement, "f", me, n, process, self.lease, self.drift, GRACE, RAMP,
                                      WINDOW, ("zone",), None))
         if self.many:
             limits = [
@@ -156,7 +158,7 @@
                 else Limit(name, OPEN, 4 * n, 0, 1, None, f"op{i}", False)
                 for i, name in enumerate(names(self.many))
             ]
-            parts.append(Sharing(agreement, me, n, host.life, limits, self.lease, self.drift, SECOND,
+            parts.append(Sharing(agreement, me, n, process, limits, self.lease, self.drift, SECOND,
                                  host.clock()))
         return [Timed(part, self.spent[me]) for part in parts]
 
