--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,11 +1,12 @@
 """What each role of a fleet costs by its size: slopes, and what they come to at the size that is expected.
 
     python -m benchmarks.fleet [--quick] [--beside 4] [--to FOLDER] [--plots FOLDER] [--page docs/CAPACITY.md]
+                               [--scale FOLDER]
 
-Writes capacity.md (tables) and capacity.json (each run) into FOLDER, the tables also into a page, between its
-marks; plots need the extra `plots`. Some seven minutes on four cores. What is
-measured, and what is left out of it: benchmarks/roles.py and benchmarks/processes.py. --quick: a minute,
-small sizes, for a look; what it reads off lies far beyond them.
+Writes capacity.md (tables) and capacity.json (each run) into FOLDER, the tables also into a page, between
+its marks, with --scale also what scale runs have written; plots need the extra `plots`. Some four to seven
+minutes on four cores. What is measured, and what is left out of it: benchmarks/roles.py and
+benchmarks/processes.py. --quick: a minute, small sizes, for a look; what it reads off lies far beyond them.
 """
 
 import json
@@ -39,6 +40,7 @@
 STILL, FLAT = 1.1, 0.12
 SCENES = "restart of all", "regions cut"
 MARKS = "<!-- figures: python -m benchmarks.fleet -->\n", "<!-- end of figures -->\n"
+SCALE = "<!-- figures: grebedyke scale -->\n", "<!-- end of scale -->\n"
 
 
 def cases(quick):
@@ -215,6 +217,42 @@
                f"{got['units'][0]:.3f} | {state:,.0f} | {state / MAY['resident']:.3f} |")
 
 
+def beside(folder):
+    """Scale runs' own files (`grebedyke scale`) as one table: medians of each role's nodes, by kind."""
+    yield ("| run | role | nodes | datagrams out | bytes a second out | in | CPU of the parts | of the "
+           "process | resident, MB |")
+    yield "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
+    for path in sorted(Path(folder).glob("*.json"), key=lambda path: (len(path.name), path.name)):
+        told = json.loads(path.read_text())
+        shape = told["shape"]
+        head = f"{shape['nodes']} nodes, {shape['scene']}, leases of {shape['lease_s']:g} s"
+        windows = {name: window["roles"] for name, window in told["windows"].items()}
+        if told.get("simulated"):
+            windows["simulated"] = told["simulated"]["roles"]
+        for name, rows in windows.items():
+            void = " (void: late loop)" if told["void"] and name != "simulated" else ""
+            for row in rows:
+                kind = f"{row['role']}, {row['kind']}" + (f", {name}" if len(windows) > 2 else "")
+                yield f"| {head}{void} | {kind} | {row['nodes']} | {' | '.join(cells(row))} |"
+                head = void = ""
+
+
+def cells(row):
+    for key, scale, form in (("messages_out", 1, ",.0f"), ("bytes_out", 1, ",.0f"), ("bytes_in", 1, ",.0f"),
+                             ("cpu_parts", 1, ".2f"), ("cpu_process", 1, ".2f"), ("resident", 1e6, ".1f")):
+        told = row.get(key)
+        sign = "%" if key.startswith("cpu") else ""
+        yield f"{told['median'] / scale:{form}}{sign}" if told else ""
+
+
+def put(path, marks, text):
+    before, _, rest = Path(path).read_text().partition(marks[0])
+    after = rest.partition(marks[1])[2]
+    if not after:
+        raise click.UsageError(f"{path} has no marks to put the tables between")
+    Path(path).write_text(before + marks[0] + text + marks[1] + after)
+
+
 def page(rows, took, state):
     told = slopes(rows)
     yield f"By `python -m benchmarks.fleet` in {took:.0f} s: {state}"
@@ -268,18 +306,20 @@
 
 @click.command()
 @click.option("--quick", is_flag=True, help="Small sizes, about a minute.")
-@click.option("--beside", default=4, show_default=True, type=click.IntRange(1, 8), help="Cases at a time.")
+@click.option("--beside", "at_a_time", default=4, show_default=True, type=click.IntRange(1, 8),
+              help="Cases at a time.")
 @click.option("--to", default=".", show_default=True, type=click.Path(file_okay=False))
 @click.option("--plots", type=click.Path(file_okay=False), help="Where plots go; none without it.")
 @click.option("--page", "into", type=click.Path(exists=True, dir_okay=False), help="A page for the tables.")
 @click.option("--again", type=click.Path(exists=True, dir_okay=False), help="Tables of a JSON file, no runs.")
-def main(quick, beside, to, plots, into, again):
+@click.option("--scale", type=click.Path(exists=True, file_okay=False), help="Scale runs' JSON, for it.")
+def main(quick, at_a_time, to, plots, into, again, scale):
     start, started = time.monotonic(), machine()
     if again:
         told = json.loads(Path(again).read_text())
         rows, took, state = told["rows"], told["took"], told["machine"]
     else:
-        rows = run(cases(quick), beside, lambda text: click.echo(text, err=True))
+        rows = run(cases(quick), at_a_time, lambda text: click.echo(text, err=True))
         took, state = time.monotonic() - start, f"{started}; at its end {machine()}"
     Path(to).mkdir(parents=True, exist_ok=True)
     text = "\n".join(page(rows, took, state)) + "\n"
@@ -288,11 +328,9 @@
         Path(to, "capacity.json").write_text(json.dumps(
             {"took": took, "machine": state, "argv": sys.argv[1:], "rows": rows}, indent=0))
     if into:
-        before, _, rest = Path(into).read_text().partition(MARKS[0])
-        after = rest.partition(MARKS[1])[2]
-        if not after:
-            raise click.UsageError(f"{into} has no marks to put the tables between")
-        Path(into).write_text(before + MARKS[0] + text + MARKS[1] + after)
+        put(into, MARKS, text)
+    if into and scale:
+        put(into, SCALE, "\n".join(beside(scale)) + "\n")
     if plots:
         Path(plots).mkdir(parents=True, exist_ok=True)
         drawn(slopes(rows), plots)
