--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -289,7 +289,9 @@
     matplotlib.rcParams |= {"svg.fonttype": "none", "svg.hashsalt": "grebedyke"}
     from matplotlib import pyplot
 
-    for name, limit in (("bytes out", MAY["bytes"]), ("CPU", MAY["CPU"]), ("state", MAY["resident"])):
+    for name, limit, label in (("bytes out", MAY["bytes"], "bytes out a second"),
+                               ("CPU", MAY["CPU"], "CPU of the parts, of a core"),
+                               ("state", MAY["resident"], "state, bytes")):
         figure_, axes = pyplot.subplots(figsize=(8, 4.5))
         axes.set_prop_cycle(color=pyplot.get_cmap("tab20").colors)
         for (role, against), quantities in told.items():
@@ -297,7 +299,7 @@
                 sizes, values, _ = quantities[name]
                 axes.loglog(sizes, values, "o-", label=role, markersize=3, linewidth=1)
         axes.axhline(limit, color="black", linestyle="--", linewidth=1)
-        axes.set(xlabel="nodes", ylabel=name + (" a second" if "bytes" in name else ""))
+        axes.set(xlabel="nodes", ylabel=label)
         axes.legend(fontsize=7, loc="center left", bbox_to_anchor=(1, 0.5))
         figure_.tight_layout()
         figure_.savefig(Path(folder, f"{name.replace(' ', '-')}.svg"), metadata={"Date": None})
