--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -217,32 +217,57 @@
                f"{got['units'][0]:.3f} | {state:,.0f} | {state / MAY['resident']:.3f} |")
 
 
+KINDS = "hollow", "real", "simulated"
+COUNTED = (("messages_out", 1, "datagrams out"), ("bytes_out", 1, "bytes out"), ("bytes_in", 1, "bytes in"),
+           ("cpu_parts", 100, "CPU"), ("cpu_process", 100, "CPU of the process"), ("resident", 1e6, "MB"))
+
+
 def beside(folder):
-    """Scale runs' own files (`grebedyke scale`) as one table: medians of each role's nodes, by kind."""
-    yield ("| run | role | nodes | datagrams out | bytes a second out | in | CPU of the parts | of the "
-           "process | resident, MB |")
-    yield "| --- | --- | --- | --- | --- | --- | --- | --- | --- |"
-    for path in sorted(Path(folder).glob("*.json"), key=lambda path: (len(path.name), path.name)):
-        told = json.loads(path.read_text())
-        shape = told["shape"]
-        head = f"{shape['nodes']} nodes, {shape['scene']}, leases of {shape['lease_s']:g} s"
-        windows = {name: window["roles"] for name, window in told["windows"].items()}
-        if told.get("simulated"):
-            windows["simulated"] = told["simulated"]["roles"]
-        for name, rows in windows.items():
-            void = " (void: late loop)" if told["void"] and name != "simulated" else ""
-            for row in rows:
-                kind = f"{row['role']}, {row['kind']}" + (f", {name}" if len(windows) > 2 else "")
-                yield f"| {head}{void} | {kind} | {row['nodes']} | {' | '.join(cells(row))} |"
-                head = void = ""
-
-
-def cells(row):
-    for key, scale, form in (("messages_out", 1, ",.0f"), ("bytes_out", 1, ",.0f"), ("bytes_in", 1, ",.0f"),
-                             ("cpu_parts", 1, ".2f"), ("cpu_process", 1, ".2f"), ("resident", 1e6, ".1f")):
-        told = row.get(key)
-        sign = "%" if key.startswith("cpu") else ""
-        yield f"{told['median'] / scale:{form}}{sign}" if told else ""
+    """Scale runs' own files (`grebedyke scale`) as tables: medians of each role's nodes, by kind."""
+    yield f"Each cell: {' / '.join(KINDS)}."
+    yield ""
+    yield ("| run | role | datagrams out | bytes a second out | in | CPU of the parts | of the process "
+           "| resident, MB |")
+    yield "| --- | --- | --- | --- | --- | --- | --- | --- |"
+    grown = {}
+    for told in sorted((json.loads(path.read_text()) for path in Path(folder).glob("*.json")),
+                       key=lambda told: (told["shape"]["scene"], told["shape"]["nodes"])):
+        shape, simulated = told["shape"], (told.get("simulated") or {}).get("roles", [])
+        for name, window in told["windows"].items():
+            head = (f"{shape['nodes']} nodes, {name}, leases of {shape['lease_s']:g} s"
+                    + (", void: the loop was late" if told["void"] else ""))
+            rows = {}
+            for row in window["roles"] + (simulated if len(told["windows"]) == 1 else []):
+                rows.setdefault(row["role"], {})[row["kind"]] = row
+            for role, by_kind in rows.items():
+                yield f"| {head} | {role} | {' | '.join(cells(by_kind))} |"
+                head = ""
+                if not told["void"] and "hollow" in by_kind:
+                    for key, scale, label in COUNTED[:5]:
+                        sizes, values = grown.setdefault((name, shape["lease_s"], role, label), ([], []))
+                        sizes.append(shape["nodes"])
+                        values.append(by_kind["hollow"][key]["median"] / scale)
+    yield ""
+    yield "Slopes of the hollow ones over the number of nodes, where four sizes or more ran:"
+    yield ""
+    yield "| window | role | quantity | least to most; slope (left over) | at n |"
+    yield "| --- | --- | --- | --- | --- |"
+    for (name, lease, role, label), (sizes, values) in grown.items():
+        slope = fit(sizes, values) if len({*sizes}) > 3 and max(values) > 2 * min(values) else None
+        if slope:
+            value, beyond = read_off(slope, EXPECTED["nodes"])
+            label_ = "CPU" if label.startswith("CPU") else label
+            yield (f"| {name}, {lease:g} s, {', '.join(map(str, sizes))} nodes | {role} | {label} | "
+                   f"{shown(label_, sizes, values, slope)} | {EXPECTED['nodes']}: {figure(label_, value)}"
+                   f"{' *' if beyond else ''} |")
+
+
+def cells(by_kind):
+    for key, scale, label in COUNTED:
+        told = [(by_kind.get(kind) or {}).get(key) for kind in KINDS]
+        form = ".2%" if label.startswith("CPU") else ".1f" if label == "MB" else ",.0f"
+        text = [format(row["median"] / scale, form) if row else "-" for row in told]
+        yield " / ".join(text) if any(told) else ""
 
 
 def put(path, marks, text):
