--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -2,6 +2,7 @@
 import asyncio
 import json
 import sys
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from click.testing import CliRunner
@@ -171,7 +172,7 @@
 
 
 def test_a_sound_node_breaks_no_rule_and_three_broken_ones_are_caught():
-    for operation, faults, patch, drain, rule, word in (
+    cases = (
             (PAY, {"s-1": "reset%30"}, "", False, None, ""), (VIEW, {}, "", True, None, ""),
             (VIEW, {"s-1": "silent"}, "", False, None, ""),
             (PAY, {f"s-{i}": "reset%30" for i in range(4)},
@@ -184,8 +185,10 @@
             (VIEW, {}, "from grebedyke.service.desk import Desk; told = Desk.listed\n"
              "Desk.listed = lambda s, n, w, rows: told(s, n, w, [r for r in rows if r[5] == 'healthy'])",
              True, 3,
-             "reached s-0")):
-        counts, broken = play(operation, faults, patch, drain, grace=0.3)
+             "reached s-0"))
+    with ThreadPoolExecutor(3) as beside:      # each is a fleet of its own, and mostly waits
+        played = list(beside.map(lambda case: play(*case[:4], grace=0.3), cases))
+    for (*_, rule, word), (counts, broken) in zip(cases, played, strict=True):
         assert counts["taken"] > 20, counts
         assert {b.rule for b in broken} == ({rule} if rule else set()), broken[:3]
         assert not rule or any(word in b.what for b in broken), broken[:3]
