Scale runs: hollow nodes by the hundred, real ones beside them, scenes and a judge

Need: figures by role came from simulated time alone; no run had more than 40 real processes.

Seen to fail without: the three builds in broken.SCALE, each caught in tests/test_scale.py.

--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -9,6 +9,7 @@
 
 from grebedyke.commands import fleet as fleet_commands
 from grebedyke.commands.say import fail
+from grebedyke.commands.scale import scale
 from grebedyke.fleetlog import reading, showing, summing
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
@@ -320,7 +321,7 @@
 
 
 for command in (fleet_commands.maintenance, fleet_commands.members, fleet_commands.limits_command,
-                fleet_commands.torture):
+                fleet_commands.torture, scale):
     cli.add_command(command)
 
 
--- a/grebedyke/rig/broken.py
+++ b/grebedyke/rig/broken.py
@@ -7,6 +7,7 @@
 
 from grebedyke.agreement import keeping, part, voter
 from grebedyke.agreement.part import Agreement, Round
+from grebedyke.agreement.seam import Part
 from grebedyke.maintenance import board, part as maintenance_part
 from grebedyke.maintenance.part import Maintenance
 from grebedyke.shares import books, limits, meters
@@ -173,10 +174,55 @@
 honest_limits |= {"lay": Sharing.lay_books, "retune": meters.Meter.retune}
 
 
+# At scale: each of them keeps every promise, and costs many times what it should.
+
+
+def answered_to_all(self, now, by, number, rev, agreed, process, epoch):
+    """Its answer goes to every node instead of to the one that asked."""
+    send, self.send = self.send, lambda to, message: [
+        Part.send(self, v, message) for v in (range(self.nodes) if message[0] == "M" else [to])]
+    try:
+        honest["asked"](self, now, by, number, rev, agreed, process, epoch)
+    finally:
+        self.send = send
+
+
+def asks_kept_for_ever(self, now):
+    asks = dict(self.asks)
+    honest["ask"](self, now)
+    self.asks = {**asks, **self.asks}
+
+
+def asked_again_at_once(self, now):
+    """Whoever has had no answer 2 ms later asks again, and again."""
+    before = self.number
+    honest_limits["ask"](self, now)
+    if self.number > before:
+        self.next = now + 20
+
+
+def answered_in_time(self, now, by, number, term, other, given):
+    honest_limits["granted"](self, now, by, number, term, other, given)
+    self.next = now + self.lease // 3
+
+
+honest |= {"asked": Maintenance.asked, "ask": Maintenance.ask}
+honest_limits |= {"ask": Sharing.ask}
+
+SCALE = {
+    "an answer to all instead of to one": [(Maintenance, "asked", answered_to_all)],
+    "asks are never dropped": [(Maintenance, "ask", asks_kept_for_ever)],
+    "asked again without back-off": [
+        (Sharing, "ask", asked_again_at_once),
+        (Sharing, "granted", answered_in_time),
+    ],
+}
+
+
 @contextmanager
 def build(name):
     """Within it that build is the one that runs."""
-    changes = (BUILDS | LIMITS)[name]
+    changes = (BUILDS | LIMITS | SCALE)[name]
     before = [(where, attribute, getattr(where, attribute)) for where, attribute, _ in changes]
     try:
         for where, attribute, instead in changes:
--- a/grebedyke/rig/launch.py
+++ b/grebedyke/rig/launch.py
@@ -70,7 +70,8 @@
         return self.began + (super().time() - self.began) * self.rate
 
 
-def main():
+def main(joined=None):
+    """`joined(node)`: called with a node that has been put together and has not begun."""
     told = json.loads(os.environ.pop("GREBEDYKE_RIG", "{}"))
     rate, wall, disk = told.get("rate", 1.0), told.get("wall", 0.0), told.get("disk")
     if wall:
@@ -92,7 +93,10 @@
     def assemble(loop, said, read_again):
         ticks = lambda: int(began + (time.monotonic_ns() - began) * rate) // 100_000  # noqa: E731
         files = LyingFiles(said["fleet"]["folder"], faults) if disk and said["fleet"] else None
-        return assembly.assemble(loop, said, read_again, ticks if rate != 1.0 else None, files)
+        node = assembly.assemble(loop, said, read_again, ticks if rate != 1.0 else None, files)
+        if joined:
+            joined(node)
+        return node
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return start.node_of(os.environ, "INFO", False, "json", assemble)
--- a/grebedyke/rig/limited.py
+++ b/grebedyke/rig/limited.py
@@ -43,11 +43,11 @@
         self.level = min(self.level + self.size * (now - self.at) / SECOND, self.burst)
         self.at = now
 
-    def went(self, now, node):
+    def went(self, now, node, count=1):
         self.advance(now)
-        self.level -= 1
+        self.level -= count
         self.least = min(self.least, self.level)
-        self.passed[now // SECOND] += 1
+        self.passed[now // SECOND] += count
         if self.level < -1e-6:
             self.broken.append((now, "over the rate", f"by {-self.level:.2f}, node {node}"))
 
@@ -58,15 +58,15 @@
         if level < -1e-6:
             self.broken.append((now, "over the further forwards", f"by {-level:.2f}, node {node}"))
 
-    def began(self, now, node):
+    def began(self, now, node, count=1):
         self.advance(now)
-        self.under_way += 1
+        self.under_way += count
         self.most = max(self.most, self.under_way)
         if self.under_way > self.at_once:
             self.broken.append((now, "too many under way", f"{self.under_way}, node {node}"))
 
-    def ended(self, now):
-        self.under_way -= 1
+    def ended(self, now, count=1):
+        self.under_way -= count
 
     def use(self, now, start, end):
         """Of the limit, in whole seconds from start to end."""
--- /dev/null
+++ b/grebedyke/rig/taps.py
@@ -0,0 +1,241 @@
+"""What stands around a node's parts, hollow or real: counts at its socket, time of its parts, what it learns.
+
+Nothing is counted by what is judged: datagrams where they pass the socket, processor time around the calls of
+the host, values where the agreement tells its followers.
+"""
+
+import asyncio
+import gc
+import random
+import sys
+import types
+from collections import Counter, deque
+from time import thread_time_ns
+from types import SimpleNamespace
+from zlib import crc32
+
+import msgpack
+
+from grebedyke.ledger import Chance
+from grebedyke.shares.limits import OPEN
+
+SECOND = 10_000
+# What went through is told by spans of that length: the judge's slack is what one of them lets through.
+SPAN = SECOND // 10
+TIMED = "heard", "decide", "do", "last_look"
+
+
+class Tap:
+    """One node over all its lives. `counts`: datagrams out, bytes out, datagrams in, bytes in.
+
+    `cut`: nodes to which nothing gets through; `loss`, `delay`: a chance, and seconds, of each datagram
+    that this node sends.
+    """
+
+    def __init__(self, me, seen, seed=0):
+        self.me, self.seen, self.random = me, seen, random.Random(f"tap {seed} {me}")
+        self.counts, self.kinds, self.took, self.inside = [0, 0, 0, 0], Counter(), 0, False
+        self.cut, self.loss, self.delay, self.knows = frozenset(), 0.0, 0.0, {}
+        self.parts = self.agreement = None
+
+    def attach(self, parts, peers, loop):
+        """Around a node that has been put together and has not begun."""
+        self.parts, self.knows = parts, {}
+        send, receive, do = parts.send, peers.datagram_received, parts.do
+
+        def out(to, body):
+            self.counts[0] += 1
+            self.counts[1] += len(body)
+            if to in self.cut or self.loss and self.random.random() < self.loss:
+                return
+            if self.delay:
+                loop.call_later(self.delay * self.random.random() * 2, send, to, body)
+            else:
+                send(to, body)
+
+        def received(data, address):
+            self.counts[2] += 1
+            self.counts[3] += len(data)
+            receive(data, address)
+
+        def done(now, part, decision):
+            if decision[0] == "send":
+                self.kinds[decision[2][0]] += 1
+            do(now, part, decision)
+
+        parts.send, peers.datagram_received, parts.do = out, received, done
+        for name in TIMED:
+            setattr(parts, name, self.timed(getattr(parts, name)))
+        self.agreement = next(part for part in parts.parts if hasattr(part, "followers"))
+        self.agreement.followers.append(self.learned)
+
+    def timed(self, call):
+        def inner(*args):
+            if self.inside:
+                return call(*args)
+            self.inside, start = True, thread_time_ns()
+            try:
+                return call(*args)
+            finally:
+                self.took += thread_time_ns() - start
+                self.inside = False
+
+        return inner
+
+    def learned(self, now, key, value):
+        self.knows[key] = self.seen.learned(self.me, key, self.agreement.learned[key][0], value)
+
+    def ready(self, now):
+        """Whether this node may do all that its parts are for: its view is sure, its shares are in force."""
+        return self.parts.begun and all(
+            part.sure(now)
+            if not hasattr(part, "gate")
+            else part.share_asked is not None
+            and now < part.share_asked + part.lease
+            and part.term == (part.value or {}).get("term")
+            for part in self.parts.parts
+            if hasattr(part, "sure")
+        )
+
+    def role(self):
+        """What this node is to the others at this moment; who drives a plan the run knows."""
+        if self.parts is None or not self.parts.begun:
+            return "down"
+        if any(part.holds() for part in self.parts.parts if hasattr(part, "holds")):
+            return "holder"
+        return "voter" if self.agreement.votes() else "other"
+
+
+class Seen:
+    """What the nodes of one process have learnt: each value told once, and each contradiction."""
+
+    def __init__(self):
+        self.values, self.news, self.broken = {}, [], []
+
+    def learned(self, me, key, ballot, value):
+        known = self.values.get((key, ballot))
+        if known is None:
+            known = self.values[key, ballot] = value, crc32(msgpack.packb(value))
+            self.news.append([me, key, ballot, value])
+        elif known[0] is not value and known[0] != value:
+            self.broken.append(f"node {me} has another {key} under {ballot} than others")
+        return known[1]
+
+    def told(self):
+        news, self.news = self.news, []
+        broken, self.broken = self.broken, []
+        return news, broken
+
+
+class Demand:
+    """What a node's clients would have: each of `wants` (tenants) once in `every`, at times of its own.
+
+    What goes through runs for up to `hold`, whatever becomes of its node meanwhile. Without the ledger of
+    clients and executors: the gate alone is asked, as the decision module asks it.
+    """
+
+    def __init__(self, loop, tap, turn, seed, wants, operation, every, hold, passes):
+        self.loop, self.tap, self.turn, self.wants, self.operation = loop, tap, turn, wants, operation
+        self.every, self.hold, self.passes = every, hold, passes
+        self.chance, self.timer = Chance(f"demand {seed} {tap.me}"), None
+
+    def go(self):
+        self.stop()
+        self.timer = self.loop.call_later(self.every * self.chance.draw() / SECOND, self.ask)
+
+    def stop(self):
+        if self.timer:
+            self.timer.cancel()
+
+    def ask(self):
+        self.timer = self.loop.call_later(self.every * (0.5 + self.chance.draw()) / SECOND, self.ask)
+        gate = next((part.gate for part in self.tap.parts.parts if hasattr(part, "gate")), None)
+        if gate is None or not self.tap.parts.begun:
+            return
+        for tenant in self.wants:
+            now, inv = self.turn.clock(), Asked(self.operation, tenant)
+            if gate.take(now, inv):
+                continue
+            self.passes[tenant, now // SPAN, 1] += 1
+            if inv in gate.open:
+                wait = int(self.hold * (0.1 + 0.85 * self.chance.draw()))
+                self.passes[tenant, (now + wait) // SPAN, -1] += 1
+                self.loop.call_later(wait / SECOND, gate.give, inv)
+        # As after any input: who has none and is asked for some says so at once.
+        self.turn.hurry()
+
+
+class Asked:
+    """As much of an invocation as limits look at."""
+
+    __slots__ = ("op", "tenant", "over", "asker")
+
+    def __init__(self, operation, tenant):
+        self.op, self.tenant, self.over, self.asker = operation, tenant, False, None
+
+
+def operation(name):
+    return SimpleNamespace(name=name)
+
+
+# Beyond these nothing is a part's own.
+OPAQUE = (
+    type,
+    types.ModuleType,
+    types.FunctionType,
+    types.BuiltinFunctionType,
+    asyncio.AbstractEventLoop,
+    Tap,
+)
+
+
+def weighed(parts):
+    """(objects, bytes) that hang on the parts of a node; what several nodes share is each one's."""
+    seen, left, size = set(), [*parts.parts, parts.whole], 0
+    while left:
+        one = left.pop()
+        if id(one) in seen or isinstance(one, OPAQUE):
+            continue
+        seen.add(id(one))
+        size += sys.getsizeof(one)
+        left += gc.get_referents(one)
+    return len(seen), size
+
+
+def own(one):
+    return type(one).__module__.startswith("grebedyke.") and not isinstance(one, Tap)
+
+
+def attributes(one):
+    names = [name for kind in type(one).__mro__ for name in getattr(kind, "__slots__", ())]
+    return {
+        **{name: getattr(one, name) for name in names if hasattr(one, name)},
+        **getattr(one, "__dict__", {}),
+    }
+
+
+def lengths(parts):
+    """How many entries each container of the parts has, by its place: what is never dropped shows here."""
+    found, seen = Counter(), set()
+
+    def walk(path, one):
+        if isinstance(one, (dict, list, set, frozenset, deque)):
+            found[path] += len(one)
+            for x in one.values() if isinstance(one, dict) else one:
+                walk(path, x)
+        elif own(one) and not isinstance(one, (types.FunctionType, type, tuple)) and id(one) not in seen:
+            seen.add(id(one))
+            for name, x in attributes(one).items():
+                walk(f"{path}.{name}", x)
+
+    for part in parts.parts:
+        walk(type(part).__name__, part)
+    return dict(found)
+
+
+def limits_of(section):
+    """tenant -> (kind, a second or at once, burst), as a configuration has them."""
+    return {
+        row["tenant"]: ("rate", row["rate"], row["burst"]) if row.get("rate") else (OPEN, row["underWay"], 0)
+        for row in section["limits"]
+    }
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,172 @@
+"""Scale runs, small ones: hollow nodes beside real ones, judged by counts and not by times; loopback only."""
+import asyncio
+import os
+import resource
+import select
+import signal
+import socket
+import subprocess
+import sys
+from types import SimpleNamespace
+
+import pytest
+from click.testing import CliRunner
+
+from grebedyke.commands.main import cli
+from grebedyke.rig import broken, figures, scale
+from grebedyke.rig.looking import Looking
+from grebedyke.rig.taps import SPAN, Seen
+from grebedyke.shares.limits import OPEN
+
+# Times decide nothing here: all agree in the end, however slow this machine is just now.
+SMALL = {"lease": 0.6, "wait": 0.15, "within": 100.0}
+
+
+async def beside(*shapes):
+    return await asyncio.gather(*(scale.Run(**{**SMALL, **shape}).play() for shape in shapes))
+
+
+def test_a_small_fleet_is_counted_by_role_and_breaks_nothing():
+    """Two regions cut and all restarted: hollow nodes and real ones tell one story again."""
+    played = asyncio.run(beside({"nodes": 9, "real": 3, "scene": "cut", "seconds": 5.0, "seed": 1},
+                                {"nodes": 5, "real": 1, "scene": "restart", "seconds": 5.0, "seed": 2}))
+    for told in played:
+        assert told["broken"] == []
+        assert None not in told["times_s"].values()
+        assert told["values"] and told["passed"]
+        before = told["windows"]["before"]
+        rows = {(row["role"], row["kind"]): row for row in before["roles"]}
+        assert {role for role, _ in rows} == {"holder", "voter", "other"}
+        assert sum(row["nodes"] for row in rows.values()) == told["shape"]["nodes"]
+        for row in rows.values():
+            # Each asks the voters for its lease and the holder for its shares, and is answered.
+            assert all(row[key]["least"] > 0 for key in figures.COUNTED), row
+        # The holder answers all: nobody sends more.
+        out = {role: row["messages_out"]["median"] for (role, _), row in rows.items()}
+        assert out["other"] < out["voter"] < out["holder"]
+        assert {row["role"] for row in told["hollow_beside_real"]}
+        assert before["kinds"]["m"] and before["kinds"]["S"]
+    while_cut = played[0]["windows"]["while they are cut"]["kinds"]
+    assert while_cut["m"] > while_cut["M"]      # what is asked across the cut has no answer
+
+
+def test_broken_builds_are_caught_by_counts():
+    """Each keeps all promises and costs too much; the same runs of the honest build are not caught."""
+    shape = {"nodes": 5, "real": 0, "seconds": 18 * SMALL["lease"]}
+    runs = [(None, "calm"), (None, "cut"), *zip(broken.SCALE, ("calm", "calm", "cut"), strict=True)]
+    first, second, *played = asyncio.run(beside(*({**shape, "seed": 10 + i, "build": name, "scene": scene}
+                                                  for i, (name, scene) in enumerate(runs))))
+    assert first["broken"] == second["broken"] == []
+    assert [{row[1] for row in told["broken"]} for told in played] == [
+        {"an answer for an ask"}, {"what is kept is dropped"}, {"asks no more often"}]
+
+
+def looking():
+    run = SimpleNamespace(count=5, executors=2, voters=[0, 1, 2])
+    return Looking(run, {"a": ("rate", 10.0, 5), "b": (OPEN, 3, 0)})
+
+
+@pytest.mark.parametrize("events, clause", [
+    # Ten a second, a burst of five and a span's worth: six at once, then one a span.
+    ({(0, 1, "a"): 6, (1, 1, "a"): 1, (2, 1, "a"): 1}, None),
+    ({(0, 1, "a"): 6, (1, 1, "a"): 2}, "over the rate"),
+    ({(0, 1, "b"): 3, (4, -1, "b"): 1, (4, 1, "b"): 1}, None),
+    ({(0, 1, "b"): 3, (3, 1, "b"): 1, (4, -1, "b"): 1}, "too many under way")])
+def test_what_went_through_is_held_against_the_limits(events, clause):
+    judge = looking()
+    judge.events.update(events)
+    judge.over()
+    assert [row[1] for row in judge.broken] == ([clause] if clause else []) and SPAN == 1_000
+
+
+def test_two_values_under_one_ballot_are_found():
+    seen, judge, ballot = Seen(), looking(), (3, 1, 7)
+    assert seen.learned(1, "holder", ballot, {"term": 1}) == seen.learned(2, "holder", ballot, {"term": 1})
+    seen.learned(3, "holder", ballot, {"term": 2})
+    news, contradictions = seen.told()
+    assert len(news) == 1 and len(contradictions) == 1 and seen.told() == ([], [])
+    # And by two processes, each of which has heard of one.
+    for value in ({"term": 1}, {"term": 1}, {"term": 2}):
+        judge.learned(4, "holder", ballot, value)
+    assert [row[1] for row in judge.broken] == ["one value"]
+
+
+def test_limits_that_are_exceeded_are_told_apart_from_what_is_broken():
+    node = {"node": 1, "real": False, "role": "holder", "messages_out": 1.0, "messages_in": 1.0,
+            "bytes_out": 1_600.0, "bytes_in": 1_500.0, "cpu_parts": 1.0, "cpu_process": 1.0, "memory": 1e6}
+    over = figures.over_limits({"calm": {"seconds": 5.0, "nodes": [node]}})
+    assert [(row["role"], row["what"], row["figure"]) for row in over] == [("holder", "bytes", 3_100.0)]
+    told = {"over": over, "broken": [(1.0, "one value", "x")], "void": None}
+    assert [line.split(":")[0] for line in figures.verdict(told)] == ["over the limit", "broken"]
+    rows = figures.compared([node, {**node, "real": True, "bytes_out": 2_000.0, "cpu_process": 2.0}])
+    differ = {row["count"]: row["why"] == "not explained" for row in rows if not row["within"]}
+    assert differ == {"bytes_out": True, "cpu_process": False}
+
+
+def one_line(*words, **given):
+    """Exit code and the one line of a run that is not begun."""
+    done = subprocess.run([sys.executable, "-m", "grebedyke", "scale", *map(str, words)], capture_output=True,
+                          text=True, timeout=60, **given)
+    assert done.stdout == "" and done.stderr.count("\n") == 1, done.stderr
+    return done.returncode, done.stderr
+
+
+def few_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (96, 96))
+
+
+def test_a_run_that_does_not_fit_this_machine_is_not_begun(monkeypatch):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+        code, line = one_line("--nodes", 5, "--host", "127.0.0.1", "--port", port - 2)
+    assert code == 2 and f"port {port} of 127.0.0.1: address already in use" in line
+    code, line = one_line("--nodes", 200, preexec_fn=few_descriptors)
+    assert code == 2 and "descriptors are needed and 96 allowed" in line
+    monkeypatch.setattr(scale, "memory", lambda: (1 << 30, 1 << 29))
+    for words, said in ((("--nodes", 760), "MB are needed and 512 MB are there"),
+                        (("--nodes", 2_000, "--each", 1), "processes are more than 300"),
+                        (("--nodes", 600, "--port", 65_000), "ports end at 65535"),
+                        (("--host", "10.0.0.1"), "not a loopback address"),
+                        (("--build", "x"), "--build is one of these"),
+                        (("--lease", 0.5, "--wait", 0.2), "--lease is under four times --wait"),
+                        (("--scene", "noon"), "Invalid value")):
+        told = CliRunner().invoke(cli, ["scale", *map(str, words)])
+        assert told.exit_code == 2 and said in told.stderr, (words, told.output)
+
+
+@pytest.mark.parametrize("number", (signal.SIGKILL, signal.SIGTERM))
+def test_a_killed_run_leaves_no_process_port_or_folder(number):
+    host = f"127.88.{os.getpid() % 250}.{int(number)}"
+    words = "--nodes", "5", "--real", "2", "--for", "300", "--host", host
+    run = subprocess.Popen([sys.executable, "-m", "grebedyke", "scale", *words], stderr=subprocess.PIPE,
+                           stdout=subprocess.DEVNULL, text=True)
+    try:
+        for line in run.stderr:
+            if "all 5 nodes agree" in line:
+                break
+        with open(f"/proc/{run.pid}/task/{run.pid}/children") as file:
+            children = [int(pid) for pid in file.read().split()]
+        folders = {os.readlink(f"/proc/{pid}/fd/2").rsplit("/", 2)[0] for pid in children}
+        ends = [os.pidfd_open(pid) for pid in children]
+    finally:
+        run.send_signal(number)
+        run.wait(30)
+    # Three voters, of which one is real, and the other two nodes: one of them real.
+    assert len(children) == 5 and [os.path.basename(x)[:16] for x in folders] == ["grebedyke-scale-"]
+    for end in ends:
+        assert select.select([end], [], [], 30)[0]
+        os.close(end)
+    for port in range(21_000, 21_010):
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+            with socket.socket(socket.AF_INET, kind) as one:
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
+                one.bind((host, port))
+    assert not os.path.exists(*folders)
+
+
+def test_a_plain_node_imports_nothing_of_it():
+    code = "import sys, grebedyke.service.start; print([m for m in sys.modules if '.rig' in m])"
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                          env={**os.environ, "PYTHONPATH": "."})
+    assert told.stdout.strip() == "[]"
