--- a/grebedyke/rig/figures.py
+++ b/grebedyke/rig/figures.py
@@ -13,7 +13,9 @@
     "bytes_in",
     "cpu_parts",
     "cpu_process",
+    "calls",
     "memory",
+    "resident",
     "objects",
     "state",
 )
@@ -23,6 +25,7 @@
 WHY = {
     "cpu_process": "a real process has its own loop, beat, watch of the list and log beside its parts; many "
     "hollow nodes share one loop",
+    "calls": "a real node asks its parts also in turns that are none of theirs: its list, its clock",
     "memory": "a real process has an interpreter and the rest of a node of its own; many hollow nodes share "
     "them",
 }
@@ -83,7 +86,7 @@
                 for a in window["nodes"]
                 if a["role"] == row["role"] and a["real"] == (row["kind"] == "real")
             ]
-            memory = row["memory"]["most"]
+            memory = row.get("resident", row["memory"])["most"]
             for what, n, limit in (
                 ("cpu", row["cpu_parts"]["most"], CPU),
                 ("bytes", max(both), BYTES),
@@ -108,11 +111,12 @@
     """The table as people read it."""
     yield (
         f"{'role':8} {'':6} {'nodes':>5} {'out/s':>8} {'B out/s':>9} {'in/s':>8} {'B in/s':>9} {'cpu %':>7} "
-        f"{'proc %':>7} {'MB':>6} {'objects':>8} {'state kB':>8}"
+        f"{'proc %':>7} {'MB':>6} {'RSS MB':>6} {'objects':>8} {'state kB':>8}"
     )
     for name, window in result["windows"].items():
         yield (
-            f"-- {name}: {window['seconds']:.0f} s, loop late by {window['lag_ms']:.0f} ms at most, "
+            f"-- {name}: {window['seconds']:.0f} s, loop late by {window['lag_ms']:.0f} ms at most "
+            f"and by over 20 ms in {window['late_beats']:.2%} of its beats, "
             f"{window['dropped']} datagrams dropped by full buffers"
         )
         for row in window["roles"]:
@@ -124,7 +128,7 @@
                 f"{row['role'][:8]:8} {row['kind']:6} {row['nodes']:5} {of('messages_out'):8.1f} "
                 f"{of('bytes_out'):9.0f} {of('messages_in'):8.1f} {of('bytes_in'):9.0f} "
                 f"{of('cpu_parts'):7.2f} {of('cpu_process'):7.2f} {of('memory', 1e6):6.1f} "
-                f"{of('objects'):8.0f} {of('state', 1e3):8.1f}"
+                f"{of('resident', 1e6):6.1f} {of('objects'):8.0f} {of('state', 1e3):8.1f}"
             )
 
 
--- a/grebedyke/rig/looking.py
+++ b/grebedyke/rig/looking.py
@@ -20,6 +20,8 @@
 # What a process that is killed may have asked since it was last looked at.
 UNSEEN = 200
 MOST_TOLD = 5
+# The window from a fault's end on.
+UNTIL = "until all agree"
 
 
 class Looking:
@@ -30,7 +32,7 @@
         self.broken, self.values, self.passed = [], {}, Counter()
         self.spec = Spec(run.count, run.executors, run.voters)
         self.events, self.newest, self.words, self.shown = Counter(), None, "", 0.0
-        self.gone, self.killed, self.lives = Counter(), 0, Counter()
+        self.gone, self.killed = Counter(), 0
 
     def fault(self, clause, words):
         if sum(row[1] == clause for row in self.broken) < MOST_TOLD:
@@ -130,26 +132,30 @@
             for row in told["nodes"].values():
                 answered.update(row["kinds"])
         asked = Counter(self.gone)
-        marks = await run.all("mark")
-        for told in marks:
+        for told in await run.all("mark"):
             for row in told["nodes"].values():
                 asked.update(row["kinds"])
         for asks, answers in ANSWERS.items():
             asks_sent, given = sum(asked[k] for k in asks), sum(answered[k] for k in answers)
             if given > asks_sent + UNSEEN * self.killed:
                 self.fault("an answer for an ask", f"{given} answers {'/'.join(answers)} to {asks_sent} asks")
-        since, boards = time.monotonic() - self.began, len(self.values)
-        # By a node's own clock each ask comes so long after the one before, or with another value or life.
-        most_m = (since * 4 / run.lease + boards + 4) * len(run.voters)
-        most_s = since * 11 / run.lease + boards + 4
-        for told in marks:
-            for node, row in told["nodes"].items():
-                lives = self.lives[int(node)] + 1
-                for kind, most in (("m", most_m * lives), ("s", most_s * lives)):
-                    if (n := row["kinds"].get(kind, 0)) > most:
+
+    def often(self):
+        """By a node's own clock each ask comes so long after the one before, or with another value."""
+        run = self.run
+        for name, window in run.windows.items():
+            if name == UNTIL:
+                continue  # other lives begin in it
+            for row in window["nodes"]:
+                most = {
+                    "m": (row["seconds"] * 4 / run.lease + len(self.values) + 4) * len(run.voters),
+                    "s": row["seconds"] * 11 / run.lease + len(self.values) + 4,
+                }
+                for kind, n in most.items():
+                    if row["kinds"].get(kind, 0) > n:
                         self.fault(
                             "asks no more often",
-                            f"node {node}: {n} asks {kind} in {since:.0f} s, {most:.0f} at most",
+                            f"node {row['node']}, {name}: {row['kinds'][kind]} asks {kind}, {n:.0f} at most",
                         )
 
     def grown(self):
@@ -165,5 +171,6 @@
     async def close(self):
         await self.look()
         await self.counts()
+        self.often()
         self.grown()
         self.over()
--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -24,7 +24,7 @@
 from grebedyke.load import shape
 from grebedyke.rig.figures import compared, over_limits, rows_of
 from grebedyke.rig.fleet import DRIFT, GRACE, RAMP, WINDOW
-from grebedyke.rig.looking import Looking
+from grebedyke.rig.looking import UNTIL, Looking
 from grebedyke.rig.taps import limits_of
 from grebedyke.standin.discovery import Discovery
 from grebedyke.standin.executor import Executor
@@ -445,19 +445,23 @@
         self.measured(name, start, end, drops, before, after, dict(roles))
 
     def measured(self, name, start, end, drops, before, after, roles):
-        rows, lag = [], 0.0
+        rows, lag, late = [], 0.0, []
         for child, now in end.items():
             then = start.get(child)
             span = now["at"] - (then["at"] if then else now["at"] - 1)
             if len(child.nodes) > 1:
                 lag = max(lag, now["lag"])
+                late.append(now["late"])
             for node, told in now["nodes"].items():
-                was = then["nodes"][node] if then else {"counts": [0] * 4, "kinds": {}, "took": 0.0}
+                was = (
+                    then["nodes"][node] if then else {"counts": [0] * 4, "kinds": {}, "took": 0.0, "calls": 0}
+                )
                 i = int(node)
                 counts = [(a - b) / span for a, b in zip(told["counts"], was["counts"], strict=True)]
                 rows.append(
                     {
                         "node": i,
+                        "seconds": span,
                         "real": child.real,
                         "role": roles.get(i) or told["role"],
                         "messages_out": counts[0],
@@ -465,12 +469,14 @@
                         "messages_in": counts[2],
                         "bytes_in": counts[3],
                         "cpu_parts": (told["took"] - was["took"]) / span * 100,
+                        "calls": (told["calls"] - was["calls"]) / span,
                         "cpu_process": (now["cpu"] - (then or {"cpu": 0})["cpu"])
                         / span
                         * 100
                         / len(child.nodes),
                         "memory": now["memory"]["own"] / len(child.nodes),
-                        "alone": len(child.nodes) == 1,
+                        # Of a process of its own, with what it shares with others.
+                        **({"resident": now["memory"]["resident"]} if len(child.nodes) == 1 else {}),
                         "kinds": {k: n - was["kinds"].get(k, 0) for k, n in told["kinds"].items()},
                         **(
                             {"objects": after[i]["objects"], "state": after[i]["bytes"]} if i in after else {}
@@ -481,6 +487,7 @@
         window = self.windows[name] = {
             "seconds": seconds,
             "lag_ms": lag * 1000,
+            "late_beats": max(late, default=0.0),
             "dropped": self.dropped() - drops,
             "nodes": rows,
             "kinds": dict(sum((Counter(row["kinds"]) for row in rows), Counter())),
@@ -603,7 +610,7 @@
         await heal()
         took = self.times[when] = await self.agreed(when, self.within, since)
         if took is not None:
-            self.measured("until all agree", start, await self.mark(), drops, {}, {}, {})
+            self.measured(UNTIL, start, await self.mark(), drops, {}, {}, {})
         await self.looking.on(2 * self.lease + self.hold)
         await self.window("after", max(self.seconds * 0.3, 1.0))
 
@@ -612,7 +619,6 @@
 
     async def kill(self, nodes):
         self.down |= {*nodes}
-        self.looking.lives.update(nodes)
         await self.looking.killing([c for c in self.children if c.real and c.nodes[0] in self.down])
         for child in self.children:
             some = [i for i in child.nodes if i in self.down]
@@ -631,9 +637,7 @@
         self.down -= {*nodes}
 
     async def end(self):
-        self.times["at the end"] = await self.agreed(
-            "at the end", self.within, time.monotonic()
-        )
+        self.times["at the end"] = await self.agreed("at the end", self.within, time.monotonic())
         await self.all("demand", on=False)
         await self.looking.close()
 
--- a/grebedyke/rig/station.py
+++ b/grebedyke/rig/station.py
@@ -19,6 +19,8 @@
 from grebedyke.rig.taps import lengths, weighed
 
 BEAT = 0.02
+# Beats that are late by more than that, in seconds, are counted.
+LATE = 0.02
 
 
 class Station:
@@ -27,6 +29,7 @@
     def __init__(self, loop, hosts, seen, passes, folder):
         self.loop, self.hosts, self.seen, self.passes, self.folder = loop, hosts, seen, passes, folder
         self.lag, self.expected, self.asked = 0.0, None, None
+        self.beats, self.late = 0, 0
 
     async def serve(self):
         # A line may have a value of some hundred machines.
@@ -65,6 +68,8 @@
         now = self.loop.time()
         if self.expected is not None:
             self.lag = max(self.lag, now - self.expected)
+            self.beats += 1
+            self.late += now - self.expected > LATE
         self.expected = now + BEAT
         self.loop.call_later(BEAT, self.beat)
 
@@ -73,15 +78,18 @@
     def do_mark(self):
         """Counters as they stand."""
         lag, self.lag = self.lag, 0.0
+        (beats, self.beats), (late, self.late) = (self.beats, 0), (self.late, 0)
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return {
             "at": time.monotonic(),
             "lag": lag,
+            "late": late / beats if beats else 0.0,
             "cpu": usage.ru_utime + usage.ru_stime,
             "memory": memory(),
             "nodes": {
                 me: {
                     "counts": host.tap.counts,
+                    "calls": host.tap.calls,
                     "kinds": host.tap.kinds,
                     "took": host.tap.took / 1e9,
                     "role": host.tap.role() if host.alive else "down",
--- a/grebedyke/rig/taps.py
+++ b/grebedyke/rig/taps.py
@@ -35,6 +35,7 @@
     def __init__(self, me, seen, seed=0):
         self.me, self.seen, self.random = me, seen, random.Random(f"tap {seed} {me}")
         self.counts, self.kinds, self.took, self.inside = [0, 0, 0, 0], Counter(), 0, False
+        self.calls = 0  # of the parts, from outside
         self.cut, self.loss, self.delay, self.knows = frozenset(), 0.0, 0.0, {}
         self.parts = self.agreement = None
 
@@ -73,7 +74,7 @@
         def inner(*args):
             if self.inside:
                 return call(*args)
-            self.inside, start = True, thread_time_ns()
+            self.inside, self.calls, start = True, self.calls + 1, thread_time_ns()
             try:
                 return call(*args)
             finally:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -40,7 +40,7 @@
         assert sum(row["nodes"] for row in rows.values()) == told["shape"]["nodes"]
         for row in rows.values():
             # Each asks the voters for its lease and the holder for its shares, and is answered.
-            assert all(row[key]["least"] > 0 for key in figures.COUNTED), row
+            assert all(row[key]["least"] > 0 for key in figures.COUNTED if key in row), row
         # The holder answers all: nobody sends more.
         out = {role: row["messages_out"]["median"] for (role, _), row in rows.items()}
         assert out["other"] < out["voter"] < out["holder"]
@@ -93,7 +93,8 @@
 
 def test_limits_that_are_exceeded_are_told_apart_from_what_is_broken():
     node = {"node": 1, "real": False, "role": "holder", "messages_out": 1.0, "messages_in": 1.0,
-            "bytes_out": 1_600.0, "bytes_in": 1_500.0, "cpu_parts": 1.0, "cpu_process": 1.0, "memory": 1e6}
+            "bytes_out": 1_600.0, "bytes_in": 1_500.0, "cpu_parts": 1.0, "cpu_process": 1.0, "calls": 1.0,
+            "memory": 1e6}
     over = figures.over_limits({"calm": {"seconds": 5.0, "nodes": [node]}})
     assert [(row["role"], row["what"], row["figure"]) for row in over] == [("holder", "bytes", 3_100.0)]
     told = {"over": over, "broken": [(1.0, "one value", "x")], "void": None}
