--- a/grebedyke/commands/scale.py
+++ b/grebedyke/commands/scale.py
@@ -35,7 +35,7 @@
     help="What the driver of a plan and the holder of the limits are.",
 )
 @click.option(
-    "--each", default=64, show_default=True, type=click.IntRange(1, 500), help="Hollow nodes in a process."
+    "--each", default=16, show_default=True, type=click.IntRange(1, 500), help="Hollow nodes in a process."
 )
 @click.option("--lease", default=2.0, show_default=True, type=click.FloatRange(0.4, 60), help="Seconds.")
 @click.option(
--- /dev/null
+++ b/grebedyke/rig/simulated.py
@@ -0,0 +1,195 @@
+"""The fleet of a scale run in simulated time: the same parts, settings and demand, by `world.py`.
+
+Counted as around a hollow node: a datagram is what `frames` makes of a message, the time of the parts has
+packing and unpacking in it, and no system calls.
+"""
+
+import json
+import tempfile
+from pathlib import Path
+from time import thread_time_ns
+from types import SimpleNamespace
+
+from grebedyke.agreement import frames
+from grebedyke.ledger import Chance
+from grebedyke.rig.figures import rows_of
+from grebedyke.rig.taps import Asked, operation, weighed
+from grebedyke.rig.world import SECOND, Host, World
+from grebedyke.service import configuration
+from grebedyke.service.fleet import parts_of
+
+TICK = SECOND // 10
+
+
+class Counted(Host):
+    """Its parts are timed; what it sends and hears is counted as datagrams."""
+
+    def __init__(self, world, me):
+        super().__init__(world, me)
+        self.counts, self.took, self.inside, self.number = [0, 0, 0, 0], 0, False, 0
+        self.whole = frames.Whole(world.mark)
+
+    def timed(self, call, *args):
+        if self.inside:
+            return call(*args)
+        self.inside, start = True, thread_time_ns()
+        try:
+            return call(*args)
+        finally:
+            self.took += thread_time_ns() - start
+            self.inside = False
+
+    def pull(self):
+        self.timed(super().pull)
+
+    def came(self, by, data):
+        self.counts[2] += len(data)
+        self.counts[3] += sum(map(len, data))
+        self.timed(self.take, by, data)
+
+    def take(self, by, data):
+        for frame in data:
+            if (message := self.whole.take(by, frame)) is not None:
+                self.heard(by, message)
+
+
+class Scaled(World):
+    """`run`: the scale run whose fleet it is, of hollow nodes only."""
+
+    def __init__(self, run):
+        self.run_of, self.mark = run, frames.mark(f"scale {run.seed}")
+        self.said = said_of(run)
+        super().__init__(
+            run.seed, nodes=run.count, voters=len(run.voters), executors=run.executors, faults=0, drift=0.0
+        )
+        self.hosts = [Counted(self, i) for i in range(run.count)]
+        self.operation, self.down = operation("task"), set()
+        self.wants = [run.wanted(i) for i in range(run.count)]
+        self.chance = Chance(f"simulated {run.seed}")
+
+    def parts_for(self, host):
+        settings = {**self.said["settings"], "me": host.me}
+        return parts_of({**self.said, "settings": settings}, host.life + 2**55, host.clock())
+
+    def learned(self, node, key, value):
+        """Judged in the rounds of `torture`, not here."""
+
+    def voted(self, host):
+        """Nor this."""
+
+    def carry(self, by, to, message):
+        host = self.hosts[by]
+        host.number += 1
+        data = frames.pack(self.mark, host.number, message)
+        host.counts[0] += len(data)
+        host.counts[1] += sum(map(len, data))
+        self.later(2, self.come, by, to, data)
+
+    def come(self, by, to, data):
+        if self.hosts[to].alive:
+            self.hosts[to].came(by, data)
+
+    # What goes on there.
+
+    def ask(self, host, every, hold):
+        self.later(int(every * (0.5 + self.chance.draw())) + 1, self.ask, host, every, hold)
+        if not host.alive:
+            return
+        gate = host.parts[-1].gate
+        for tenant in self.wants[host.me]:
+            inv = Asked(self.operation, tenant)
+            if not gate.take(host.clock(), inv) and inv in gate.open:
+                self.later(int(hold * (0.1 + 0.85 * self.chance.draw())), gate.give, inv)
+        host.pull()
+
+    def holder(self):
+        return next((h.me for h in self.hosts if h.alive and h.parts[-1].holds()), None)
+
+    def led(self):
+        """As in the run: the second voter holds the limits, the first one drives."""
+        lease = int(self.run_of.lease * SECOND)
+        for _ in range(4):
+            if (holder := self.holder()) == 1:
+                return
+            lost = {holder, *([0] if self.count >= 7 else [])} - {None}
+            for i in lost:
+                self.hosts[i].end()
+            self.run(self.now + 5 * lease)
+            for i in lost:
+                self.hosts[i].start()
+            self.run(self.now + 2 * lease)
+
+    def operate(self):
+        """Plan after plan, and the operators' hands, at the node that the run asks as well."""
+        self.later(TICK, self.operate)
+        host = self.hosts[-1]
+        part = host.parts[1]
+        told = part.state(host.clock())
+        if not told["plan"] and told["sure"]:
+            self.plans += 1
+            plan = {
+                "machines": [e.name for e in self.executors],
+                "most": 4,
+                "workMs": 600_000,
+                "leastShare": 0.5,
+                "id": f"plan-{self.plans}",
+            }
+            part.called(host.clock(), lambda status, text: None, b"POST", b"/v1/maintenance/plan", plan)
+        for row in told["machines"]:
+            if row["state"] == "free" and row["number"] not in self.worked:
+                self.worked.add(row["number"])
+                path = f"/v1/maintenance/back/{row['name']}/{row['number']}".encode()
+                part.called(host.clock(), lambda status, text: None, b"POST", path, None)
+        host.pull()
+
+
+def said_of(run):
+    """What a node's configuration says; read and checked as a node does."""
+    with tempfile.TemporaryDirectory() as folder:
+        listing = {"index": 1, "endpoints": []}
+        run.discovery = SimpleNamespace(address=("127.0.0.1", 9), listing=lambda: listing)
+        path = Path(folder, "node.json")
+        path.write_text(json.dumps(run.told(0, Path(folder))))
+        return configuration.read_node({"BALANCER_CONFIG": str(path)})
+
+
+def beside(run, seconds):
+    """Rows by role, as `rows_of` gives them, of so many simulated seconds of that scene, calm or peak."""
+    world = Scaled(run)
+    lease, span = int(run.lease * SECOND), int(seconds * SECOND)
+    for host in world.hosts:
+        world.later(world.random.randrange(1, SECOND), host.start)
+    world.run(6 * lease)
+    world.led()
+    for host in world.hosts:
+        every, hold = int(run.every * SECOND), int(run.hold * SECOND)
+        world.later(world.random.randrange(1, every), world.ask, host, every, hold)
+    world.run(world.now + 4 * lease)
+    roles = {}
+    if run.scene == "peak":
+        world.plans = 0
+        world.operate()
+        world.run(world.now + SECOND)
+        roles = {0: "driver", world.count - 1: "asked"}
+    start = [(list(host.counts), host.took) for host in world.hosts]
+    world.run(world.now + span)
+    rows = []
+    for host, (counts, took) in zip(world.hosts, start, strict=True):
+        per = [(a - b) * SECOND / span for a, b in zip(host.counts, counts, strict=True)]
+        votes = "holder" if host.parts[-1].holds() else "voter" if host.parts[0].votes() else "other"
+        objects, size = weighed(host)
+        rows.append(
+            {
+                "node": host.me,
+                "real": False,
+                "role": roles.get(host.me, votes),
+                "messages_out": per[0],
+                "bytes_out": per[1],
+                "messages_in": per[2],
+                "bytes_in": per[3],
+                "cpu_parts": (host.took - took) / 1e9 / (span / SECOND) * 100,
+                "objects": objects,
+                "state": size,
+            }
+        )
+    return [{**row, "kind": "simulated"} for row in rows_of(rows)]
