--- a/grebedyke/rig/figures.py
+++ b/grebedyke/rig/figures.py
@@ -26,6 +26,8 @@
     "cpu_process": "a real process has its own loop, beat, watch of the list and log beside its parts; many "
     "hollow nodes share one loop",
     "calls": "a real node asks its parts also in turns that are none of theirs: its list, its clock",
+    "bytes_in": "nodes of a process learn one after another: who asks before it has the newest board is "
+    "told the whole",
     "memory": "a real process has an interpreter and the rest of a node of its own; many hollow nodes share "
     "them",
 }
@@ -140,12 +142,14 @@
         yield (
             f"-- {name}: {window['seconds']:.0f} s, loop late by {window['lag_ms']:.0f} ms at most "
             f"and by over 20 ms in {window['late_beats']:.2%} of its beats, "
-            f"{window['dropped']} datagrams dropped by full buffers"
+            f"{window['dropped']} datagrams dropped by full buffers, "
+            f"{window['values'] / window['seconds']:.1f} values a second agreed on"
         )
         yield from map(line, window["roles"])
     if result.get("simulated"):
-        yield "-- the same in simulated time"
-        yield from map(line, result["simulated"])
+        changes = result["simulated"]["boards_a_second"]
+        yield f"-- in simulated time, {changes:.1f} changes of the board a second"
+        yield from map(line, result["simulated"]["roles"])
 
 
 def verdict(result):
--- a/grebedyke/rig/looking.py
+++ b/grebedyke/rig/looking.py
@@ -32,7 +32,7 @@
         self.broken, self.values, self.passed = [], {}, Counter()
         self.spec = Spec(run.count, run.executors, run.voters)
         self.events, self.newest, self.words, self.shown = Counter(), None, "", 0.0
-        self.gone, self.killed = Counter(), 0
+        self.gone, self.killed, self.pledged = Counter(), 0, {}
 
     def fault(self, clause, words):
         if sum(row[1] == clause for row in self.broken) < MOST_TOLD:
@@ -45,7 +45,8 @@
     def promised(self, status, text):
         if status != 200:
             return self.fault("calls are answered", f"the plan: {status} {text}")
-        self.spec.answered(time.monotonic(), b"/plan", None, status, text)
+        # Its board is seen a moment later: from the first one that has it on none may lack it.
+        self.pledged[text.split()[1].rstrip(":")] = text
 
     # What is seen.
 
@@ -85,6 +86,10 @@
             return
         if value and (self.newest is None or value["rev"] > self.newest["rev"]):
             self.newest = value
+        if value:
+            kept = [value["plan"]["id"]] if value["plan"] else []
+            for id in {*kept, *(past[0] for past in value["past"])} & {*self.pledged}:
+                self.spec.promised[id] = self.pledged.pop(id), value["rev"]
         # Executors of a scene stay up, so none is lost or cold.
         self.spec.learned(time.monotonic(), node, key, value, {}, ())
         for _, clause, words in self.spec.broken:
@@ -168,6 +173,8 @@
 
     async def close(self):
         await self.look()
+        for id in self.pledged:
+            self.fault("told is kept", f"plan {id} was told as taken and is in no board")
         await self.counts()
         self.often()
         self.grown()
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -13,7 +13,7 @@
 from click.testing import CliRunner
 
 from grebedyke.commands.main import cli
-from grebedyke.rig import broken, figures, scale
+from grebedyke.rig import broken, figures, scale, simulated
 from grebedyke.rig.looking import Looking
 from grebedyke.rig.taps import SPAN, Seen
 from grebedyke.shares.limits import OPEN
@@ -84,6 +84,20 @@
         name: {clause} for name, (_, clause) in CAUGHT.items()}
 
 
+def test_the_same_fleet_in_simulated_time_says_as_much():
+    """By the settings: each lease four asks to three voters and three for shares."""
+    run = scale.Run(nodes=6, real=0, lease=2.0, seed=2)
+    told = simulated.beside(run, 20.0)
+    rows = {row["role"]: row for row in told["roles"]}
+    assert told["boards_a_second"] == 0 and {role: row["nodes"] for role, row in rows.items()} == {
+        "holder": 1, "voter": 2, "other": 3}
+    # Who is short asks for its shares up to eight times a lease.
+    assert 7.4 <= rows["other"]["messages_out"]["least"] and rows["other"]["messages_out"]["most"] <= 10.1
+    assert rows["other"]["messages_in"]["median"] == rows["other"]["messages_out"]["median"]
+    scene = simulated.beside(scale.Run(nodes=6, real=0, lease=2.0, scene="peak", seed=2), 5.0)
+    assert scene["boards_a_second"] > 1 and "driver" in {row["role"] for row in scene["roles"]}
+
+
 def looking():
     run = SimpleNamespace(count=5, executors=2, voters=[0, 1, 2])
     return Looking(run, {"a": ("rate", 10.0, 5), "b": (OPEN, 3, 0)})
