--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -46,12 +46,13 @@
 # What a run may take of this machine.
 MOST_PROCESSES, MEMORY_SHARE = 300, 0.5
 # By which a run is judged to fit before it begins; measured.
-PROCESS_BYTES, HOLLOW_BYTES, REAL_BYTES = 40 << 20, 1 << 20, 50 << 20
+PROCESS_BYTES, HOLLOW_BYTES, REAL_BYTES, STACK = 40 << 20, 1 << 20, 50 << 20, 8 << 20
 # All processes are up, and all nodes agree, by then.
 UP, AGREE = 120.0, 120.0
 # After a fault's end all nodes agree within so many leases: a new holder's election takes some five.
 AGREE_LEASES = 15
-SPREAD, LATE = 2.0, 1.5
+# Hollow nodes start within so many seconds.
+SPREAD = 2.0
 
 
 class Unfit(Exception):
@@ -166,15 +167,9 @@
         if not count:
             return set()
         some = self.voters[:2] if self.lead == "real" else self.voters[2:4]
-        some = some[:count]
         others = [i for i in range(self.count) if i not in self.voters]
-        others += [i for i in self.voters if i not in some]
-        return {
-            *some,
-            *self.random.sample(
-                others[: max(count - len(some), self.count - len(self.voters))], count - len(some)
-            ),
-        }
+        drawn = self.random.sample(others, len(others)) + [i for i in self.voters if i not in some]
+        return {*[*some, *drawn][:count]}
 
     # Whether it fits.
 
@@ -202,7 +197,8 @@
         if needed > allowed:
             raise Unfit(f"{needed >> 20} MB are needed and {allowed >> 20} MB are there: fewer --nodes")
         as_soft = resource.getrlimit(resource.RLIMIT_AS)[0]
-        largest = max([PROCESS_BYTES + len(group) * HOLLOW_BYTES for group in groups], default=0)
+        # Each node has a thread for its disk, whose stack is counted there though it is not in memory.
+        largest = max([PROCESS_BYTES + len(group) * (HOLLOW_BYTES + STACK) for group in groups], default=0)
         if 0 <= as_soft < largest:
             raise Unfit(f"a process may have {as_soft >> 20} MB, {largest >> 20} MB are needed (ulimit -v)")
         soft = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -357,16 +353,14 @@
         await asyncio.wait_for(asyncio.gather(*(child.up for child in children)), UP)
 
     async def begin(self):
-        """The first voter comes last: who has waited longer becomes the holder, so that driver and holder are
-        two nodes."""
+        """The first voter comes last, and who has waited longer becomes the holder: so driver and holder are
+        mostly two nodes at once."""
         start, last = time.monotonic(), self.at[0]
         for child in self.children:
             if not child.real:
                 nodes = [i for i in child.nodes if i != 0]
-                await child.ask(
-                    "start", nodes=nodes, within=0.2 if nodes and nodes[0] in self.voters else SPREAD
-                )
-        await asyncio.sleep(max(LATE * self.lease / 2, self.lease * 0.6 + 0.2))
+                await child.ask("start", nodes=nodes, within=SPREAD if len(child.nodes) > 1 else 0.2)
+        await asyncio.sleep(self.lease * 0.75)
         if last.real:
             await self.up([last])
         else:
