--- a/grebedyke/rig/figures.py
+++ b/grebedyke/rig/figures.py
@@ -1,6 +1,9 @@
 """What a scale run has counted, by role: rows for a table and JSON, and what is over the limits."""
 
 from statistics import median
+from time import thread_time_ns
+
+from grebedyke.agreement import frames
 
 # What operators grant a node's control: percent of a core, bytes in memory, bytes a second in and out.
 CPU, MEMORY, BYTES = 1.1, 64_000_000, 3_000
@@ -33,6 +36,16 @@
 }
 
 
+def yardstick():
+    """Microseconds that this machine takes just now to pack an ask for a lease and take it apart again, by
+    which figures of processor time are to be read."""
+    ask, mark, times = ["m", 1_000, 100, 100, 2**55, 1], frames.mark("yardstick"), 1_000
+    whole, start = frames.Whole(mark), thread_time_ns()
+    for number in range(times):
+        whole.take(0, frames.pack(mark, number, ask)[0])
+    return (thread_time_ns() - start) / times / 1_000
+
+
 def rows_of(nodes):
     """One row for each role and kind of node: median, least and most of each count."""
     rows = []
@@ -143,7 +156,8 @@
             f"-- {name}: {window['seconds']:.0f} s, loop late by {window['lag_ms']:.0f} ms at most "
             f"and by over 20 ms in {window['late_beats']:.2%} of its beats, "
             f"{window['dropped']} datagrams dropped by full buffers, "
-            f"{window['values'] / window['seconds']:.1f} values a second agreed on"
+            f"{window['values'] / window['seconds']:.1f} values a second agreed on, "
+            f"yardstick {window['yardstick_us']:.1f} us"
         )
         yield from map(line, window["roles"])
     if result.get("simulated"):
--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -22,7 +22,7 @@
 
 from grebedyke.load import fleet as plain
 from grebedyke.load import shape
-from grebedyke.rig.figures import compared, over_limits, rows_of
+from grebedyke.rig.figures import compared, over_limits, rows_of, yardstick
 from grebedyke.rig.fleet import DRIFT, GRACE, RAMP, WINDOW
 from grebedyke.rig.looking import UNTIL, Looking
 from grebedyke.rig.taps import limits_of
@@ -484,6 +484,7 @@
             "seconds": seconds,
             "lag_ms": lag * 1000,
             "values": len(self.looking.values) - known,
+            "yardstick_us": yardstick(),
             "late_beats": max(late, default=0.0),
             "memory": sum(now["memory"]["own"] for now in end.values()),
             "dropped": self.dropped() - drops,
--- a/grebedyke/rig/simulated.py
+++ b/grebedyke/rig/simulated.py
@@ -12,7 +12,7 @@
 
 from grebedyke.agreement import frames
 from grebedyke.ledger import Chance
-from grebedyke.rig.figures import rows_of
+from grebedyke.rig.figures import rows_of, yardstick
 from grebedyke.rig.taps import Asked, operation, weighed
 from grebedyke.rig.world import SECOND, Host, World
 from grebedyke.service import configuration
@@ -200,7 +200,11 @@
                 "state": size,
             }
         )
-    return {"boards_a_second": boards, "roles": [{**row, "kind": "simulated"} for row in rows_of(rows)]}
+    return {
+        "boards_a_second": boards,
+        "yardstick_us": yardstick(),
+        "roles": [{**row, "kind": "simulated"} for row in rows_of(rows)],
+    }
 
 
 def rev(world):
