--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -459,7 +459,7 @@
                         "node": i,
                         "seconds": span,
                         "real": child.real,
-                        "role": roles.get(i) or told["role"],
+                        "role": both(roles.get(i), told["role"]),
                         "messages_out": counts[0],
                         "bytes_out": counts[1],
                         "messages_in": counts[2],
@@ -701,6 +701,14 @@
 SCENE = {"calm": Run.calm, "peak": Run.peak, "zone": Run.zone, "cut": Run.cut, "restart": Run.restart}
 
 
+def both(known, told):
+    """
+    >>> both("driver", "voter"), both("driver", "holder"), both(None, "holder")
+    ('driver', 'holder and driver', 'holder')
+    """
+    return f"holder and {known}" if known and told == "holder" else known or told
+
+
 def team(i):
     return f"team {i}"
 
