--- a/grebedyke/rig/looking.py
+++ b/grebedyke/rig/looking.py
@@ -135,8 +135,12 @@
                 answered.update(row["kinds"])
         asked = Counter(self.gone)
         for told in await run.all("mark"):
-            for row in told["nodes"].values():
+            for node, row in told["nodes"].items():
                 asked.update(row["kinds"])
+                if row["hasty"]:
+                    self.fault(
+                        "asks no more often", f"node {node}: {row['hasty']} asks for shares out of turn"
+                    )
         for asks, answers in ANSWERS.items():
             asks_sent, given = sum(asked[k] for k in asks), sum(answered[k] for k in answers)
             if given > asks_sent + UNSEEN * self.killed:
@@ -168,7 +172,7 @@
                     if n > SLACK:
                         self.fault(
                             "what is kept is dropped",
-                            f"{path} has {n} entries more after {window['seconds']:.0f} s of calm",
+                            f"{path} has {n:.0f} entries more after {window['seconds']:.0f} s of calm",
                         )
 
     async def close(self):
--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -492,14 +492,14 @@
             "kinds": dict(sum((Counter(row["kinds"]) for row in rows), Counter())),
             "load": os.getloadavg()[0],
         }
+        # By how many entries each container has grown, where there are several at a place the mean of them.
         grown = {}
-        if before:
-            for i, told in after.items():
-                was = before.get(i, {"lengths": {}})["lengths"]
-                for path, n in told["lengths"].items():
-                    if n > was.get(path, 0):
-                        grown[path] = max(grown.get(path, 0), n - was.get(path, 0))
-        window["grown"] = grown
+        for node, told in after.items() if before else ():
+            was = before.get(node, {"lengths": {}})["lengths"]
+            for path, (n, containers) in told["lengths"].items():
+                more = (n - was.get(path, (0, 0))[0]) / max(containers, 1)
+                grown[path] = max(grown.get(path, 0), more)
+        window["grown"] = {path: more for path, more in grown.items() if more > 0}
         self.say(f"{name}: {seconds:.0f} s counted, the loop late by {lag * 1000:.0f} ms at most")
 
     def dropped(self):
--- a/grebedyke/rig/station.py
+++ b/grebedyke/rig/station.py
@@ -91,6 +91,7 @@
                 me: {
                     "counts": host.tap.counts,
                     "calls": host.tap.calls,
+                    "hasty": host.tap.hasty,
                     "kinds": host.tap.kinds,
                     "took": host.tap.took / 1e9,
                     "role": host.tap.role() if host.alive else "down",
--- a/grebedyke/rig/taps.py
+++ b/grebedyke/rig/taps.py
@@ -38,10 +38,13 @@
         self.calls = 0  # of the parts, from outside
         self.cut, self.loss, self.delay, self.knows = frozenset(), 0.0, 0.0, {}
         self.parts = self.agreement = None
+        # Of its asks for shares: the last three, and how many came sooner than its part ever asks.
+        self.asks, self.learned_at, self.hasty = deque([0] * 3, 3), 0, 0
 
     def attach(self, parts, peers, loop):
         """Around a node that has been put together and has not begun."""
         self.parts, self.knows = parts, {}
+        self.asks.extend([0] * 3)
         send, receive, do = parts.send, peers.datagram_received, parts.do
 
         def out(to, body):
@@ -61,7 +64,10 @@
 
         def done(now, part, decision):
             if decision[0] == "send":
-                self.kinds[decision[2][0]] += 1
+                kind = decision[2][0]
+                self.kinds[kind] += 1
+                if kind == "s":
+                    self.asked(now, part.lease)
             do(now, part, decision)
 
         parts.send, peers.datagram_received, parts.do = out, received, done
@@ -70,6 +76,13 @@
         self.agreement = next(part for part in parts.parts if hasattr(part, "followers"))
         self.agreement.followers.append(self.learned)
 
+    def asked(self, now, lease):
+        """Of three asks in a row, without news of a holder in between, at most one is out of its turn: by the
+        node's own clock they lie an eighth of a lease apart."""
+        self.asks.append(now)
+        if self.asks[0] > self.learned_at and now - self.asks[0] < lease // 8:
+            self.hasty += 1
+
     def timed(self, call):
         def inner(*args):
             if self.inside:
@@ -84,6 +97,7 @@
         return inner
 
     def learned(self, now, key, value):
+        self.learned_at = now
         self.knows[key] = self.seen.learned(self.me, key, self.agreement.learned[key][0], value)
 
     def ready(self, now):
@@ -216,12 +230,13 @@
 
 
 def lengths(parts):
-    """How many entries each container of the parts has, by its place: what is never dropped shows here."""
-    found, seen = Counter(), set()
+    """(entries, containers) of each place in the parts: what is never dropped shows here."""
+    found, number, seen = Counter(), Counter(), set()
 
     def walk(path, one):
         if isinstance(one, (dict, list, set, frozenset, deque)):
             found[path] += len(one)
+            number[path] += 1
             for x in one.values() if isinstance(one, dict) else one:
                 walk(path, x)
         elif own(one) and not isinstance(one, (types.FunctionType, type, tuple)) and id(one) not in seen:
@@ -231,7 +246,7 @@
 
     for part in parts.parts:
         walk(type(part).__name__, part)
-    return dict(found)
+    return {path: (n, number[path]) for path, n in found.items()}
 
 
 def limits_of(section):
