--- a/grebedyke/rig/looking.py
+++ b/grebedyke/rig/looking.py
@@ -33,6 +33,7 @@
         self.spec = Spec(run.count, run.executors, run.voters)
         self.events, self.newest, self.words, self.shown = Counter(), None, "", 0.0
         self.gone, self.killed, self.pledged = Counter(), 0, {}
+        self.sent = {}
 
     def fault(self, clause, words):
         if sum(row[1] == clause for row in self.broken) < MOST_TOLD:
@@ -141,6 +142,7 @@
                     self.fault(
                         "asks no more often", f"node {node}: {row['hasty']} asks for shares out of turn"
                     )
+        self.sent = dict(asked) | {k: answered[k] for answers in ANSWERS.values() for k in answers}
         for asks, answers in ANSWERS.items():
             asks_sent, given = sum(asked[k] for k in asks), sum(answered[k] for k in answers)
             if given > asks_sent + UNSEEN * self.killed:
--- a/grebedyke/rig/scale.py
+++ b/grebedyke/rig/scale.py
@@ -694,6 +694,7 @@
             "void": void,
             "passed": sum(self.looking.passed.values()),
             "values": len(self.looking.values),
+            "sent": self.looking.sent,
             "plans": self.plans,
         }
 
