--- a/grebedyke/rig/station.py
+++ b/grebedyke/rig/station.py
@@ -12,7 +12,6 @@
 import sys
 import time
 from collections import Counter
-from contextlib import suppress
 
 import orjson
 
@@ -57,9 +56,8 @@
         )
 
     def end(self):
-        shutil.rmtree(self.folder, ignore_errors=True)
-        with suppress(OSError):
-            os.rmdir(os.path.dirname(self.folder))  # by the last one
+        # The whole run's: a node that is down just now has nobody to take its folder along.
+        shutil.rmtree(os.path.dirname(self.folder), ignore_errors=True)
         # No half-done turn holds a socket a moment longer.
         os._exit(0)
 
