--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,211 @@
+"""Scale runs, small ones: hollow nodes beside real ones, judged by counts and not by times; loopback only."""
+import asyncio
+import os
+import resource
+import select
+import signal
+import socket
+import subprocess
+import sys
+from types import SimpleNamespace
+
+import pytest
+from click.testing import CliRunner
+
+from grebedyke.commands.main import cli
+from grebedyke.rig import broken, figures, scale, simulated
+from grebedyke.rig.looking import Looking
+from grebedyke.rig.taps import SPAN, Seen
+from grebedyke.shares.limits import OPEN
+
+# Times decide nothing here: all agree in the end, however slow this machine is just now.
+SMALL = {"lease": 0.4, "wait": 0.1, "within": 100.0}
+
+
+# Each scene with faults, then a calm one beside builds that are broken on purpose.
+SCENES = {
+    "cut": {"nodes": 9, "real": 3, "seconds": 4.0},
+    "restart": {"nodes": 5, "real": 1, "seconds": 4.0},
+    "zone": {"nodes": 7, "real": 3, "seconds": 4.0},
+}
+HOLLOW = {"nodes": 5, "real": 0, "seconds": 18 * SMALL["lease"]}
+CAUGHT = {
+    "an answer to all instead of to one": ("calm", "an answer for an ask"),
+    "asks are never dropped": ("calm", "what is kept is dropped"),
+    "asked again without back-off": ("cut", "asks no more often"),
+}
+
+
+@pytest.fixture(scope="module")
+def played():
+    """All runs beside each other: what each gave, by its scene or its build."""
+    runs = {name: {**shape, "scene": name} for name, shape in SCENES.items()}
+    runs["calm"] = HOLLOW
+    runs |= {name: {**HOLLOW, "scene": scene, "build": name} for name, (scene, _) in CAUGHT.items()}
+
+    async def beside():
+        return await asyncio.gather(*(scale.Run(**{**SMALL, "seed": seed, **shape}).play()
+                                      for seed, shape in enumerate(runs.values(), 1)))
+    return dict(zip(runs, asyncio.run(beside()), strict=True))
+
+
+@pytest.mark.parametrize("scene", SCENES)
+def test_a_small_fleet_is_counted_by_role_and_breaks_nothing(played, scene):
+    """Two regions cut, a zone lost, all restarted: hollow nodes and real ones tell one story again."""
+    told = played[scene]
+    assert told["broken"] == []
+    assert None not in told["times_s"].values()
+    assert told["values"] and told["passed"]
+    before = told["windows"]["before"]
+    rows = {(row["role"], row["kind"]): row for row in before["roles"]}
+    assert {role for role, _ in rows} == {"holder", "voter", "other"}
+    assert sum(row["nodes"] for row in rows.values()) == told["shape"]["nodes"]
+    assert told["hollow_beside_real"]
+    for key in figures.COUNTED:
+        # In some window of each role: on a machine that stands still a window may have nothing in it.
+        seen = {row["role"] for window in told["windows"].values() for row in window["roles"]
+                if key in row and row[key]["most"] > 0}
+        assert seen >= {"holder", "voter"}, key
+    sent = told["sent"]
+    # Each asks the voters for its lease and the holder for its shares, and is answered.
+    assert 0 < sent["M"] <= sent["m"] and 0 < sent["S"] <= sent["s"]
+    if scene == "cut":
+        assert sent["M"] < sent["m"]      # what is asked across the cut has no answer
+    if scene == "zone":
+        rows = told["windows"]["while it is lost"]["roles"]
+        assert 0 < sum(row["nodes"] for row in rows if row["role"] != "down") < told["shape"]["nodes"]
+
+
+def test_broken_builds_are_caught_by_counts(played):
+    """Each keeps all promises and costs too much; the honest build is caught in none of these scenes."""
+    assert [*CAUGHT] == [*broken.SCALE] and played["calm"]["broken"] == played["cut"]["broken"] == []
+    assert {name: {row[1] for row in played[name]["broken"]} for name in CAUGHT} == {
+        name: {clause} for name, (_, clause) in CAUGHT.items()}
+
+
+def test_the_same_fleet_in_simulated_time_says_as_much():
+    """By the settings: each lease four asks to three voters and three for shares."""
+    run = scale.Run(nodes=6, real=0, lease=2.0, seed=2)
+    told = simulated.beside(run, 20.0)
+    rows = {row["role"]: row for row in told["roles"]}
+    assert told["boards_a_second"] == 0 and {role: row["nodes"] for role, row in rows.items()} == {
+        "holder": 1, "voter": 2, "other": 3}
+    # Who is short asks for its shares up to eight times a lease.
+    assert 7.4 <= rows["other"]["messages_out"]["least"] and rows["other"]["messages_out"]["most"] <= 10.1
+    assert rows["other"]["messages_in"]["median"] == rows["other"]["messages_out"]["median"]
+    out = [rows[role]["messages_out"]["median"] for role in ("other", "voter", "holder")]
+    assert out == sorted(out) and out[0] < out[1] < out[2]
+    scene = simulated.beside(scale.Run(nodes=6, real=0, lease=2.0, scene="peak", seed=2), 5.0)
+    assert scene["boards_a_second"] > 1 and "driver" in {row["role"] for row in scene["roles"]}
+
+
+def looking():
+    run = SimpleNamespace(count=5, executors=2, voters=[0, 1, 2])
+    return Looking(run, {"a": ("rate", 10.0, 5), "b": (OPEN, 3, 0)})
+
+
+@pytest.mark.parametrize("events, clause", [
+    # Ten a second, a burst of five and a span's worth: six at once, then one a span.
+    ({(0, 1, "a"): 6, (1, 1, "a"): 1, (2, 1, "a"): 1}, None),
+    ({(0, 1, "a"): 6, (1, 1, "a"): 2}, "over the rate"),
+    ({(0, 1, "b"): 3, (4, -1, "b"): 1, (4, 1, "b"): 1}, None),
+    ({(0, 1, "b"): 3, (3, 1, "b"): 1, (4, -1, "b"): 1}, "too many under way")])
+def test_what_went_through_is_held_against_the_limits(events, clause):
+    judge = looking()
+    judge.events.update(events)
+    judge.over()
+    assert [row[1] for row in judge.broken] == ([clause] if clause else []) and SPAN == 1_000
+
+
+def test_two_values_under_one_ballot_are_found():
+    seen, judge, ballot = Seen(), looking(), (3, 1, 7)
+    assert seen.learned(1, "holder", ballot, {"term": 1}) == seen.learned(2, "holder", ballot, {"term": 1})
+    seen.learned(3, "holder", ballot, {"term": 2})
+    news, contradictions = seen.told()
+    assert len(news) == 1 and len(contradictions) == 1 and seen.told() == ([], [])
+    # And by two processes, each of which has heard of one.
+    for value in ({"term": 1}, {"term": 1}, {"term": 2}):
+        judge.learned(4, "holder", ballot, value)
+    assert [row[1] for row in judge.broken] == ["one value"]
+
+
+def test_limits_that_are_exceeded_are_told_apart_from_what_is_broken():
+    node = {"node": 1, "real": False, "role": "holder", "messages_out": 1.0, "messages_in": 1.0,
+            "bytes_out": 1_600.0, "bytes_in": 1_500.0, "cpu_parts": 1.0, "cpu_process": 1.0, "calls": 1.0,
+            "memory": 1e6}
+    over = figures.over_limits({"calm": {"seconds": 5.0, "nodes": [node]}})
+    assert [(row["role"], row["what"], row["figure"]) for row in over] == [("holder", "bytes", 3_100.0)]
+    told = {"over": over, "broken": [(1.0, "one value", "x")], "void": None}
+    assert [line.split(":")[0] for line in figures.verdict(told)] == ["over the limit", "broken"]
+    rows = figures.compared([node, {**node, "real": True, "bytes_out": 2_000.0, "cpu_process": 2.0}])
+    differ = {row["count"]: row["why"] == "not explained" for row in rows if not row["within"]}
+    assert differ == {"bytes_out": True, "cpu_process": False}
+
+
+def one_line(*words, **given):
+    """Exit code and the one line of a run that is not begun."""
+    done = subprocess.run([sys.executable, "-m", "grebedyke", "scale", *map(str, words)], capture_output=True,
+                          text=True, timeout=60, **given)
+    assert done.stdout == "" and done.stderr.count("\n") == 1, done.stderr
+    return done.returncode, done.stderr
+
+
+def few_descriptors():
+    resource.setrlimit(resource.RLIMIT_NOFILE, (96, 96))
+
+
+def test_a_run_that_does_not_fit_this_machine_is_not_begun(monkeypatch):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+        code, line = one_line("--nodes", 5, "--host", "127.0.0.1", "--port", port - 2)
+    assert code == 2 and f"port {port} of 127.0.0.1: address already in use" in line
+    code, line = one_line("--nodes", 200, preexec_fn=few_descriptors)
+    assert code == 2 and "descriptors are needed and 96 allowed" in line
+    monkeypatch.setattr(scale, "memory", lambda: (1 << 30, 1 << 29))
+    for words, said in ((("--nodes", 760), "MB are needed and 512 MB are there"),
+                        (("--nodes", 2_000, "--each", 1), "processes are more than 300"),
+                        (("--nodes", 600, "--port", 65_000), "ports end at 65535"),
+                        (("--host", "10.0.0.1"), "not a loopback address"),
+                        (("--build", "x"), "--build is one of these"),
+                        (("--lease", 0.5, "--wait", 0.2), "--lease is under four times --wait"),
+                        (("--scene", "noon"), "Invalid value")):
+        told = CliRunner().invoke(cli, ["scale", *map(str, words)])
+        assert told.exit_code == 2 and said in told.stderr, (words, told.output)
+
+
+@pytest.mark.parametrize("number", (signal.SIGKILL, signal.SIGTERM))
+def test_a_killed_run_leaves_no_process_port_or_folder(number):
+    host = f"127.88.{os.getpid() % 250}.{int(number)}"
+    words = "--nodes", "5", "--real", "2", "--for", "300", "--host", host, "--lead", "any"
+    run = subprocess.Popen([sys.executable, "-m", "grebedyke", "scale", *words], stderr=subprocess.PIPE,
+                           stdout=subprocess.DEVNULL, text=True)
+    try:
+        for line in run.stderr:
+            if "all 5 nodes agree" in line:
+                break
+        with open(f"/proc/{run.pid}/task/{run.pid}/children") as file:
+            children = [int(pid) for pid in file.read().split()]
+        folders = {os.readlink(f"/proc/{pid}/fd/2").rsplit("/", 2)[0] for pid in children}
+        ends = [os.pidfd_open(pid) for pid in children]
+    finally:
+        run.send_signal(number)
+        run.wait(30)
+    # Three voters, of which one is real, and the other two nodes: one of them real.
+    assert len(children) == 5 and [os.path.basename(x)[:16] for x in folders] == ["grebedyke-scale-"]
+    for end in ends:
+        assert select.select([end], [], [], 30)[0]
+        os.close(end)
+    for port in range(21_000, 21_010):
+        for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM):
+            with socket.socket(socket.AF_INET, kind) as one:
+                one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, kind == socket.SOCK_STREAM)
+                one.bind((host, port))
+    assert not os.path.exists(*folders)
+
+
+def test_a_plain_node_imports_nothing_of_it():
+    code = "import sys, grebedyke.service.start; print([m for m in sys.modules if '.rig' in m])"
+    told = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True,
+                          env={**os.environ, "PYTHONPATH": "."})
+    assert told.stdout.strip() == "[]"
