--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -37,7 +37,9 @@
     shorter = {processes.process: {"span": 0.1}, roles.scene: {"span": 4 * SECOND}}
     found = [(call, against, size, shape | shorter.get(call, {}))
              for call, against, size, shape in smallest.values()]
-    rows = fleet.run(found, 1)
+    said = []
+    rows = fleet.run(found, 3, said.append)
+    assert not [line for line in said if line.startswith("failed")]
     assert {row["role"] for row in rows} == ROLES
     assert all(value >= 0 for row in rows for name, value in row["quantities"].items() if "CPU" not in name)
     assert all(row["quantities"]["undelivered"] == 0 for row in rows if row["role"] == "driver of a plan")
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -2,6 +2,9 @@
 
 The turn in which nodes that are told at once begin is seen to in test_brain.py.
 """
+from concurrent.futures import ProcessPoolExecutor
+from itertools import repeat
+
 import pytest
 
 from benchmarks.cold import Round
@@ -27,11 +30,17 @@
 
 @pytest.mark.parametrize(("nodes", "seeds"), ((1, range(1, 7)), (5, range(1, 7)), (30, (2, 3, 7, 9))))
 def test_no_window_of_a_cold_executor_is_over_its_bound(nodes, seeds):
-    for seed in seeds:
-        played = Round(seed, nodes, SECONDS).run()
-        assert played.over == [], (seed, played.worst)
-        # Against a round in which next to nothing reaches them.
-        assert played.windows > 30 and played.done > 100
+    with ProcessPoolExecutor(4) as beside:
+        for seed, (over, worst, windows, done) in zip(seeds, beside.map(played, seeds, repeat(nodes)),
+                                                      strict=True):
+            assert over == [], (seed, worst)
+            # Against a round in which next to nothing reaches them.
+            assert windows > 30 and done > 100
+
+
+def played(seed, nodes):
+    one = Round(seed, nodes, SECONDS).run()
+    return one.over, one.worst, one.windows, one.done
 
 
 @pytest.mark.parametrize(("name", "broken"), (
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,4 +1,5 @@
 """The fleet's parts in simulated time, under faults; builds broken on purpose, all of them to be caught."""
+from concurrent.futures import ProcessPoolExecutor
 from contextlib import nullcontext
 from types import SimpleNamespace
 
@@ -48,9 +49,14 @@
 
 
 def test_broken_builds_are_caught_by_drawn_rounds():
-    for name, (shape, first) in CAUGHT.items():
-        with broken.build(name):
-            assert any(play(seed, **shape)[0] for seed in range(first, first + 8)), name
+    with ProcessPoolExecutor(4) as beside:
+        assert dict(zip(CAUGHT, beside.map(caught, CAUGHT), strict=True)) == dict.fromkeys(CAUGHT, True)
+
+
+def caught(name):
+    shape, first = CAUGHT[name]
+    with broken.build(name):
+        return any(play(seed, **shape)[0] for seed in range(first, first + 8))
 
 
 class Fleet:
