A discovery that all nodes ask is called less often: calls wait for their turn in its queue

The nodes' logs show a 503 of discovery each 0.19 s from the start on. Since asked lists had an agent's times: answers were waited for 0.35 s and failed calls made again after 0.18 s, while a shared discovery answers in its turn, within 2 s. What stood in its queue was given up and asked for anew, so hardly any call came to its end.

Change: where lists are asked for an answer is waited for 1.5 s beyond the watch's wait (and taken for 1 s more), pauses after failures double from 0.25 to 0.75 s. Pushed lists as before.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -36,7 +36,12 @@
     # return may count at once: a call that is silent since before is given up, and begun anew, in time for
     # the drain grace of the settings, and soon enough that further such calls are over before 6 s.
     drain = max(tenths(conf["rules"]["drainGraceMs"]), SECOND // 5)
-    watch = min(SECOND // 2, drain // 2), min(SECOND // 4, drain // 4)
+    again = min(SECOND // 4, drain // 4)
+    watch = min(SECOND // 2, drain // 2), again, again
+    if conf["registryMode"] != "push":
+        # Discovery itself, shared by all nodes: it answers in turn, within 2 s, and turns away what is more.
+        # Asked as often as an agent, 32 nodes gave up calls that stood in its queue, and none was told.
+        watch = SECOND + SECOND // 2, SECOND // 4, SECOND * 3 // 4
     return pool, desk, door, watch
 
 
@@ -83,7 +88,7 @@
     # Short waits: what an agent has counts as told 2 s after the wait, and one that fell silent is asked anew
     # before that.
     watch = desk.watch = Watch(loop, turn, *said["discovery"], said["known"].get("index"), 2 * SECOND,
-                               *for_watch, desk.listed, desk.unlisted)
+                               *for_watch[:2], desk.listed, desk.unlisted, for_watch[2])
     peers = desk.peers = Peers(loop, turn, desk.heard)
     turn.decide, turn.carry = dispatcher.decide, desk.do
     gauges.levels = partial(levels, turn, dispatcher)
--- a/grebedyke/wire/discovery.py
+++ b/grebedyke/wire/discovery.py
@@ -84,23 +84,24 @@
 class Watch:
     """`told(whole, entries)` and `failed()` become inputs of the next turn.
 
-    A failed watch is begun anew after `again`, whether lists are pushed or asked for: the agent is on this
-    machine, and a back-off that spares a discovery shared by all nodes would only be late for its return.
+    A failed watch is begun anew after `again`, twice as late with each further failure, `most` at the most:
+    where lists are asked for discovery is shared by all nodes, and what it turns away would only come again.
     The first call, and those after a failure, wait for nothing: the agent says at once what it has, which
     counts as told from a process's first moment and from discovery's return on. `first` is set with the
     first answer or failure.
     """
 
-    def __init__(self, loop, turn, host, port, index, wait, grace, again, told, failed):
+    def __init__(self, loop, turn, host, port, index, wait, grace, again, told, failed, most=None):
         self.loop, self.turn, self.address, self.index = loop, turn, (host, port), index
-        self.wait, self.grace, self.again, self.told, self.failed = wait, grace, again, told, failed
+        self.wait, self.grace, self.again, self.most = wait, grace, again, most or again
+        self.told, self.failed, self.failures = told, failed, 0
         self.agent, self.task, self.serial = None, None, 0
         self.late = None      # the agent of a call given up, which may yet answer it
         self.asking = self.down = self.over = False
         self.anew, self.first = True, asyncio.Event()
 
-    def tune(self, grace, again):
-        self.grace, self.again = grace, again
+    def tune(self, grace, again, most):
+        self.grace, self.again, self.most = grace, again, most
 
     def ask(self, now=0):
         if self.asking or self.over:
@@ -175,6 +176,7 @@
                 self.task.cancel()
         self.drop(self.turn.clock(), self.late)
         self.asking = self.anew = False
+        self.failures = 0
         if self.index is not None and version < self.index:
             # Of a copy that lags, or a discovery that began anew: changes would be applied to another list.
             logger.warning("discovery: version {version} after {before}, the whole list is asked for",
@@ -232,7 +234,8 @@
                            event="list-down", version=self.index)
             self.down = True
         self.turn.put(self.failed)
-        self.turn.after(self.again, self.ask)
+        self.turn.after(min(self.again << min(self.failures, 8), self.most), self.ask)
+        self.failures += 1
 
     def close(self):
         self.over, self.asking = True, False
