Refusals are counted by reason, beside what the node holds true at that moment

Callers saw 503s from a fleet that was idle, and nothing in logs or counts told an unsure view of maintenance from what a node had learnt, from probes without an answer or from real lateness. The 503s of a full request table and of a shutdown's end were in no count at all.

Each Throttle and Fail action now carries a RefusalReason. A waiting request remembers what kept it when it was last looked at, so that the reason costs no search when it is given up. The counts line has a count for each reason, and four levels: unready, warming, low_credit, excess_ms. fleet-log sums them.

tests/test_refusals.py: each reason by its cause, at the policy and at the request table. Tests that build a Throttle or Fail name its reason; the two that compared a whole Throttle now compare the reason as well.

--- a/grebedyke/fleetlog/totals.py
+++ b/grebedyke/fleetlog/totals.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
-from grebedyke.service.metrics import ACTIVITY_COUNTS, ANSWER_COUNTS, FAILURE_COUNTS
+from grebedyke.service.metrics import ACTIVITY_COUNTS, ANSWER_COUNTS, FAILURE_COUNTS, REFUSAL_COUNTS
 
 COLUMNS = (
     "nodes",
@@ -11,6 +11,7 @@
     *ANSWER_COUNTS,
     *ACTIVITY_COUNTS,
     *FAILURE_COUNTS.values(),
+    *REFUSAL_COUNTS,
     "held",
     "out",
     "listed",
--- a/grebedyke/model/actions.py
+++ b/grebedyke/model/actions.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+from grebedyke.model.refusal import RefusalReason
+
 
 class Forward(NamedTuple):
     """Send a request to an endpoint as its next attempt.
@@ -38,16 +40,24 @@
     Attributes:
         request_id: The request.
         retry_after: Ticks after which it may come back; 0: not said.
+        reason: Why, for the log's counts.
     """
 
     request_id: object
     retry_after: int
+    reason: RefusalReason
 
 
 class Fail(NamedTuple):
-    """Answer the client that the request failed, without a promise that it had no effect."""
+    """Answer the client that the request failed, without a promise that it had no effect.
+
+    Attributes:
+        request_id: The request.
+        reason: Why, for the log's counts.
+    """
 
     request_id: object
+    reason: RefusalReason
 
 
 class Probe(NamedTuple):
--- a/grebedyke/model/endpoint_list.py
+++ b/grebedyke/model/endpoint_list.py
@@ -98,6 +98,10 @@
         self.update(now, False, [row_of(endpoint)] if endpoint else [])
         return id in self.known_ids
 
+    def has_banned(self):
+        """Whether the list has a healthy endpoint that is banned here."""
+        return any(endpoint.state == BANNED for endpoint in self.by_id.values())
+
     def record(self):
         """What a process that goes on with this node's work has to know, in plain types; see `restore`."""
         rows = [row_of(endpoint) for endpoint in self.by_id.values()]
--- a/grebedyke/model/request.py
+++ b/grebedyke/model/request.py
@@ -5,6 +5,7 @@
 
 from grebedyke.model.endpoint import Endpoint
 from grebedyke.model.operation import Operation
+from grebedyke.model.refusal import RefusalReason
 
 
 class Reservation(NamedTuple):
@@ -47,6 +48,7 @@
         asked_group: The group whose coordinator owes an answer; None without one.
         placement_group: The group that this node coordinates and places it in; None: not limited to one.
         reservation: The slot that was granted for it; None without one.
+        obstacle: What kept it from being sent when it was last looked at; None before.
     """
 
     id: object
@@ -77,6 +79,7 @@
     asked_group: tuple | None = None
     placement_group: tuple | None = None
     reservation: Reservation | None = None
+    obstacle: RefusalReason | None = None
 
     def begin_slot_search(self, number):
         """Starts over with slot requests, under a new number."""
--- a/grebedyke/policy/giving_up.py
+++ b/grebedyke/policy/giving_up.py
@@ -30,12 +30,12 @@
     return min(request.first_arrived_at + wait, last_moment(request, settings))
 
 
-def final_answer(request, settings):
-    """The action that answers a request of which no attempt may come any more."""
+def final_answer(request, settings, reason):
+    """The action that answers a request of which no attempt may come any more, for a `RefusalReason`."""
     operation = request.operation
     repeats_are_dropped = operation.effect == Effect.KEYED and operation.idempotency_group == "all"
     harmless = operation.effect == Effect.IDEMPOTENT or repeats_are_dropped
     if not harmless and not all(attempt.never_ran for attempt in request.attempts):
-        return Fail(request.id)
+        return Fail(request.id, reason)
     retry_after = request.retry_after or DEFAULT_RETRY_AFTER
-    return Throttle(request.id, min(settings.limits.max_retry_after, retry_after))
+    return Throttle(request.id, min(settings.limits.max_retry_after, retry_after), reason)
--- a/grebedyke/policy/placement.py
+++ b/grebedyke/policy/placement.py
@@ -9,6 +9,7 @@
 from grebedyke.model.actions import Forward, SendPeerMessage
 from grebedyke.model.attempt import Attempt
 from grebedyke.model.peer_messages import SlotDenial
+from grebedyke.model.refusal import RefusalReason
 from grebedyke.policy.giving_up import final_answer
 
 # Endpoints with room that a pass looks at, of each group: CPU must not grow with the fleet.
@@ -33,9 +34,9 @@
         by_reports = rules.probing.is_sparse(now)
         ready_by_group = {}
         for request in waiting:
-            is_over = now >= request.latest_start
-            if is_over or request.attempts and not rules.eligibility.may_still_come(request, now):
-                yield from self._give_up(request)
+            refusal = self._refusal(request, now)
+            if refusal:
+                yield from self._give_up(request, refusal)
                 continue
             if rules.lending.is_slot_wanted(request, now):
                 slot_request = rules.lending.ask(request, now)
@@ -46,6 +47,25 @@
             else:
                 yield from self._place_by_load(request, now, ready_by_group)
 
+    def _refusal(self, request, now):
+        """Why the request is given up now, a `RefusalReason`; None where it may still be sent."""
+        if now >= request.latest_start:
+            return self._reason_of_delay(request)
+        if request.attempts:
+            return self._rules.eligibility.refusal(request, now)
+        return None
+
+    def _reason_of_delay(self, request):
+        """What has kept a request waiting until its latest start."""
+        if request.retry_after:
+            return RefusalReason.OVER_LIMIT
+        endpoints = self._context.endpoints
+        if not endpoints.healthy:
+            return RefusalReason.ALL_EXCLUDED if endpoints.has_banned() else RefusalReason.NO_ENDPOINT
+        if self._context.uses_coordinators and not request.placement_group:
+            return RefusalReason.NO_SLOT
+        return request.obstacle or RefusalReason.NONE_READY
+
     def _place_by_load(self, request, now, ready_by_group):
         candidates = ready_by_group.get(request.placement_group)
         if candidates is None:
@@ -59,6 +79,7 @@
                 candidates.remove(endpoint)
             yield self._sent(attempt, now)
         else:
+            request.obstacle = RefusalReason.NONE_SUITABLE if candidates else RefusalReason.NONE_READY
             yield from self._deny(request)
 
     def _place_by_reports(self, request, now):
@@ -86,12 +107,18 @@
             yield from self._probe_or_give_up(request, now, bool(candidates))
 
     def _probe_or_give_up(self, request, now, some_are_ready):
+        if some_are_ready:
+            request.obstacle = RefusalReason.TOO_LATE
+        elif request.probed_endpoints:
+            request.obstacle = RefusalReason.NO_REPORT
         if not self._rules.probing.may_go_on(request, some_are_ready):
-            yield from self._give_up(request)
+            yield from self._give_up(request, request.obstacle or RefusalReason.NONE_READY)
             return
         probe = self._rules.probing.next_probe(request, now)
         if probe:
             yield probe
+        else:
+            request.obstacle = request.obstacle or RefusalReason.NONE_READY
 
     def _ready(self, group, now):
         """Some endpoints of the group with room, from a random place in their order by hash on."""
@@ -131,9 +158,10 @@
             request.search_rounds = 1
             yield SendPeerMessage(request.origin_node, SlotDenial(request.id[1], request.over_quota))
 
-    def _give_up(self, request):
-        """Answers a request of this node; a peer's is answered by its own node."""
-        answer = final_answer(request, self._context.settings) if request.origin_node is None else None
+    def _give_up(self, request, reason):
+        """Answers a request of this node for a `RefusalReason`; a peer's is answered by its own node."""
+        is_own = request.origin_node is None
+        answer = final_answer(request, self._context.settings, reason) if is_own else None
         self._rules.queue.finish(request)
         if answer:
             yield answer
--- a/grebedyke/policy/retry_eligibility.py
+++ b/grebedyke/policy/retry_eligibility.py
@@ -6,6 +6,7 @@
 """
 
 from grebedyke.model.outcome import Effect
+from grebedyke.model.refusal import RefusalReason
 
 # The window counts as over so many scheduling intervals early: the retry is still to arrive, clocks differ.
 WINDOW_MARGIN_INTERVALS = 10
@@ -36,12 +37,17 @@
         group = operation.idempotency_group
         return group == "all" or getattr(endpoint, group) == getattr(first.endpoint, group)
 
-    def may_still_come(self, request, now):
-        """Whether a retry may still come of it; budget and limits are those of the request's own node."""
+    def refusal(self, request, now):
+        """Why no retry of it may come, a `RefusalReason`; None where one may.
+
+        Budget and limits are those of the request's own node.
+        """
         context = self._context
         limits = context.quotas.request_limiter
         within_limits = not limits or limits.may_retry(now, request)
         if request.origin_node is None:
             if not within_limits or context.retry_budget.available(now).left < 1:
-                return False
-        return any(self.is_allowed(request, endpoint, now) for endpoint in context.endpoints.healthy)
+                return RefusalReason.NO_BUDGET
+        if any(self.is_allowed(request, endpoint, now) for endpoint in context.endpoints.healthy):
+            return None
+        return RefusalReason.NO_RETRY
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -15,6 +15,7 @@
 from grebedyke.service.node_settings import descriptor_shares, node_settings, with_fitting_interval
 from grebedyke.service.process_messages import ProcessMessages
 from grebedyke.service.reload import adopt_settings
+from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.client_listener import ClientListener
 from grebedyke.wire.discovery_client import DiscoveryClient
 from grebedyke.wire.executor_pool import ExecutorPool
@@ -133,13 +134,18 @@
 
 
 def _levels(batch, dispatcher):
-    """For the log: healthy endpoints, how many of them are ejected, and how many requests are queued."""
-    healthy = dispatcher.endpoints.healthy
+    """For the log: what the node holds true at this moment that decides on requests."""
+    endpoints = dispatcher.endpoints
+    healthy = endpoints.healthy
     now = batch.clock()
     return {
         "listed": len(healthy),
         "out": sum(endpoint.ejected_until > now for endpoint in healthy),
         "held": sum(request.queued for request in dispatcher.queue.waiting),
+        "warming": sum(endpoints.warmth(endpoint, now) < 1 for endpoint in healthy),
+        "unready": sum(not endpoints.is_ready(endpoint, now) for endpoint in healthy),
+        "low_credit": sum(endpoint.credit < 1 for endpoint in healthy),
+        "excess_ms": int(endpoints.lateness.excess_wait(now) / TICKS_PER_MILLISECOND),
     }
 
 
--- a/grebedyke/service/metrics.py
+++ b/grebedyke/service/metrics.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from grebedyke.model.outcome import Outcome
+from grebedyke.model.refusal import RefusalReason
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 # The names of counts and levels are keys of the log line `counts` and stay as they are.
@@ -23,6 +24,8 @@
     Outcome.NEVER_SENT: "moot",
 }
 """The count of each outcome of an attempt but success."""
+REFUSAL_COUNTS = tuple(RefusalReason)
+"""Requests that were throttled, failed or not taken, by why; not those whose attempt's time was over."""
 TROUBLE_COUNTS = ("crowded", "odd", "faults")
 """Requests turned away for want of connections, messages not understood, errors of this program."""
 
@@ -47,7 +50,7 @@
         self.histograms = {name: HdrHistogram(1, HISTOGRAM_MAX, HISTOGRAM_DIGITS) for name in names}
         failures = FAILURE_COUNTS.values()
         self.counts = dict.fromkeys(
-            ("taken", *ANSWER_COUNTS, *ACTIVITY_COUNTS, *failures, *TROUBLE_COUNTS), 0
+            ("taken", *ANSWER_COUNTS, *ACTIVITY_COUNTS, *failures, *REFUSAL_COUNTS, *TROUBLE_COUNTS), 0
         )
         self.read_levels: Callable[[], dict] = dict
 
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -4,6 +4,7 @@
 
 from grebedyke.model.events import ClientLeft, RequestArrived
 from grebedyke.model.in_flight import PendingRequest, RequestLine
+from grebedyke.model.refusal import RefusalReason
 from grebedyke.units import TICKS_PER_SECOND
 
 
@@ -45,7 +46,9 @@
             client.respond(409, b"this X-Request-ID is under way")
             return
         now = self.batch.clock()
-        if self._must_reject(now):
+        refusal = self._refusal(now)
+        if refusal:
+            self.metrics.count(refusal)
             client.respond(503)
             return
         deadline = now + max(incoming.timeout - self.settings.response_margin, 0)
@@ -67,14 +70,16 @@
         else:
             self.batch.enqueue(self._admit, request, incoming, deadline)
 
-    def _must_reject(self, now):
-        """Returns whether a request cannot be taken: the table is full, or the process is about to end."""
+    def _refusal(self, now):
+        """Returns why a request cannot be taken, a `RefusalReason`; None where it can."""
         if len(self.pending) >= self.settings.max_open_requests:
-            return True
+            return RefusalReason.TABLE_FULL
         # At the end of a shutdown there is no time for an attempt. The client may try elsewhere without harm,
         # while an error would be final.
         step = 2 * self.settings.scheduling_interval
-        return self.shutdown_at is not None and now + step >= self.shutdown_at
+        if self.shutdown_at is not None and now + step >= self.shutdown_at:
+            return RefusalReason.SHUTTING_DOWN
+        return None
 
     def _answer_by(self, deadline, time_unread):
         """Returns the time by which this process answers; the dispatcher reckons with the deadline itself.
@@ -111,18 +116,19 @@
             self.dispatcher.handle(now, ClientLeft(request.id))
             self.release(now, request)
 
-    def throttle(self, now, request_id, retry_after):
-        """Answers that the request had no effect; `retry_after` in ticks, 0 if the client is not told."""
+    def throttle(self, now, request_id, retry_after, reason):
+        """Answers that the request had no effect; see `actions.Throttle`."""
         headers = f"Retry-After: {retry_after / TICKS_PER_SECOND:g}\r\n" if retry_after > 0 else ""
-        self._answer(now, request_id, 503, "throttled", headers)
+        self._refuse(now, request_id, reason, 503, "throttled", headers)
 
-    def fail(self, now, request_id):
+    def fail(self, now, request_id, reason):
         """Answers that the request failed, without a promise that it had no effect."""
-        self._answer(now, request_id, 500, "errored")
+        self._refuse(now, request_id, reason, 500, "errored")
 
-    def _answer(self, now, request_id, status, outcome, headers=""):
+    def _refuse(self, now, request_id, reason, status, outcome, headers=""):
         request = self.pending.get(request_id)
         if request and request.client:
+            self.metrics.count(reason)
             self.respond(now, request, status, outcome, headers=headers)
             self.release(now, request)
 
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -3,6 +3,7 @@
 from socketless_node import NOW, REQUEST, SocketlessNode, call_back_message, receive, request
 
 from grebedyke.model.actions import Fail
+from grebedyke.model.refusal import RefusalReason
 
 
 def test_the_listener_answers_what_it_is_not_for():
@@ -72,7 +73,7 @@
     assert third.transport.written.startswith(b"HTTP/1.1 503") and third.transport.closing
     assert b"r3" not in node.host.requests.pending
     third.connection_lost(None)
-    node.act(Fail(b"r1"), now=0)
+    node.act(Fail(b"r1", RefusalReason.TOO_LATE), now=0)
     fresh = node.client()  # over the limit again: the one that is between two messages makes room
     assert busy[0].transport.closing and not busy[1].transport.closing and not fresh.transport.closing
 
@@ -89,7 +90,7 @@
     ):
         node = SocketlessNode(max_connections=1)
         client = node.send_request()
-        node.host.perform(NOW, Fail(b"r1"))
+        node.host.perform(NOW, Fail(b"r1", RefusalReason.TOO_LATE))
         close(node)
         node.run()
         assert client.transport.closing and client.transport.written.startswith(b"HTTP/1.1 500")
@@ -110,7 +111,7 @@
     ):
         node = SocketlessNode(max_connections=16)
         proven = node.send_request()
-        node.act(Fail(b"r1"))
+        node.act(Fail(b"r1", RefusalReason.TOO_LATE))
         messages = [("checking", health_check)] * checking + [("silent", REQUEST[:30])] * silent
         crowd = [(name, receive(node.client(), data)) for name, data in messages]
         node.run()
@@ -132,7 +133,7 @@
     """
     node = SocketlessNode(max_requesters=0)
     client = node.send_request()
-    node.act(Fail(b"r1"))
+    node.act(Fail(b"r1", RefusalReason.TOO_LATE))
     assert not receive(client, REQUEST).transport.closing  # never one that sends a request
 
     node = SocketlessNode(max_requesters=2)
@@ -141,7 +142,7 @@
     for number in range(4):
         clients.append(receive(node.client(), request(number)))
         if number != 1:
-            node.host.perform(NOW, Fail(b"r%d" % number))
+            node.host.perform(NOW, Fail(b"r%d" % number, RefusalReason.TOO_LATE))
         node.run()
     assert [client.transport.closing for client in clients] == [True, False, True, False]
 
@@ -157,7 +158,7 @@
     waiting = node.send_request()
     proven = node.client()
     receive(proven, request(2))
-    node.act(Fail(b"r2"))
+    node.act(Fail(b"r2", RefusalReason.TOO_LATE))
     receive(proven, REQUEST[:-1])
     clients = (slow, silent, waiting, proven)
     for after, expected in ((20_000, []), (22_500, [slow, silent]), (70_000, [slow, silent, proven])):
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -10,6 +10,7 @@
 
 from grebedyke.model.actions import Forward, Throttle
 from grebedyke.model.events import ClientLeft
+from grebedyke.model.refusal import RefusalReason
 
 
 def has_left(harness, request_id=b"r1"):
@@ -101,7 +102,7 @@
             client = BlockingClient(harness.address).send_request()
             await until_connecting(harness)
             if how == "throttle":
-                harness.host.perform(harness.batch.clock(), Throttle(b"r1", 0))
+                harness.host.perform(harness.batch.clock(), Throttle(b"r1", 0, RefusalReason.TOO_LATE))
                 harness.host.dispatcher.handle(harness.batch.clock(), ClientLeft(b"r1"))
             else:
                 harness.host.requests.fail_unanswered(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -15,6 +15,7 @@
 from grebedyke.load.clients import OpenLoopClients
 from grebedyke.model.actions import Forward, Throttle
 from grebedyke.model.outcome import Effect, Outcome
+from grebedyke.model.refusal import RefusalReason
 from grebedyke.rate_limits import messages, settings
 from grebedyke.rate_limits.allocation import AllocationTable, AllocationTimes
 from grebedyke.rate_limits.component import RateLimits
@@ -266,11 +267,11 @@
     policy.taken(100, "first", "op", "t", 50_000, 0, 1)
     assert first_of(policy, 100) == (Forward, "first")
     policy.taken(200, "second", "op", "t", 50_000, 0, 1)
-    assert throttled(policy, 200) == [Throttle("second", 2_500)]
+    assert throttled(policy, 200) == [Throttle("second", 2_500, RefusalReason.OVER_LIMIT)]
     # Its client leaves; the work goes on, and so does its slot.
     policy.left(300, "first")
     policy.taken(400, "third", "op", "t", 50_000, 0, 1)
-    assert throttled(policy, 400) == [Throttle("third", 2_500)]
+    assert throttled(policy, 400) == [Throttle("third", 2_500, RefusalReason.OVER_LIMIT)]
     policy.ended(500, "first", 0, Outcome.SUCCEEDED, True)
     policy.taken(600, "fourth", "op", "t", 50_000, 0, 1)
     assert first_of(policy, 600) == (Forward, "fourth")
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,97 @@
+"""Each refusal is counted by its reason, so that an idle fleet's can be told from those under overload."""
+
+import pytest
+from helpers import dispatcher, pull, rows
+from socketless_node import NOW, SocketlessNode
+
+from grebedyke.model.actions import Probe, Throttle
+from grebedyke.model.outcome import Outcome
+from grebedyke.model.refusal import RefusalReason
+
+
+def refusal_of(node, answer_probe=lambda probe, now: None):
+    """The reason of the answer to a request that node takes at 10."""
+    node.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    for now in range(10, 6_000, 10):
+        for action in pull(node, now, Probe, Throttle):
+            if isinstance(action, Throttle):
+                return action.reason
+            answer_probe(action, now)
+    return None
+
+
+def nothing_listed(node):
+    """The list is empty."""
+
+
+def all_banned(node):
+    node.listed(10, True, rows(1, 2))
+    node.set_banned(10, 1, True)
+    node.set_banned(10, 2, True)
+
+
+def all_ejected(node):
+    node.listed(10, True, rows(1))
+    node.endpoints.on_failure(node.endpoints.by_id[1], 10, Outcome.TIMEOUT)
+
+
+def all_reject_the_operation(node):
+    node.listed(10, True, rows(1))
+    node.endpoints.by_id[1].rejected_until[node.context.settings.operations["op"]] = 100_000
+
+
+@pytest.mark.parametrize(
+    "prepare, reason",
+    [
+        (nothing_listed, RefusalReason.NO_ENDPOINT),
+        (all_banned, RefusalReason.ALL_EXCLUDED),
+        (all_ejected, RefusalReason.NONE_READY),
+        (all_reject_the_operation, RefusalReason.NONE_SUITABLE),
+    ],
+)
+def test_a_request_that_waits_in_vain_tells_what_kept_it(prepare, reason):
+    node = dispatcher()
+    prepare(node)
+    assert refusal_of(node) == reason
+
+
+def test_probes_without_an_answer_and_answers_that_are_too_late_differ():
+    node = dispatcher(nodes=200, probes=True)
+    node.listed(10, True, rows(1, 2))
+    assert refusal_of(node) == RefusalReason.NO_REPORT
+    node = dispatcher(nodes=200, probes=True)
+    node.listed(10, True, rows(1, 2))
+    busy = refusal_of(node, lambda probe, now: node.probed(now, probe.endpoint_id, "ok", 0, 90))
+    assert busy == RefusalReason.TOO_LATE
+
+
+def test_a_retry_that_the_budget_forbids_is_told_as_such():
+    node = dispatcher(budget=(0, 0.0, 100_000))
+    node.listed(10, True, rows(1, 2))
+    node.taken(10, 5, "op", None, 50_000, 1_000, 1)
+    pull(node, 10)
+    node.ended(20, 5, 0, Outcome.CONNECT_FAILED, False)
+    (answer,) = pull(node, 20, Throttle)
+    assert answer.reason == RefusalReason.NO_BUDGET
+
+
+def test_requests_that_are_not_taken_are_counted():
+    """A full table and a shutdown's end answered 503 that stood in no count."""
+    node = SocketlessNode()
+    node.host.requests.settings = node.host.requests.settings._replace(max_open_requests=0)
+    client = node.send_request()
+    assert client.transport.written.startswith(b"HTTP/1.1 503")
+    assert node.batch.metrics.counts["table_full"] == 1
+    node = SocketlessNode()
+    node.host.requests.shutdown_at = NOW
+    node.send_request()
+    counts = node.batch.metrics.counts
+    assert counts["shutting_down"] == 1 and counts["taken"] == 0
+
+
+def test_a_throttled_request_is_counted_by_its_reason():
+    node = SocketlessNode()
+    node.send_request()
+    node.act(Throttle(b"r1", 0, RefusalReason.TOO_LATE))
+    counts = node.batch.metrics.counts
+    assert counts["throttled"] == counts["too_late"] == 1
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -12,6 +12,7 @@
     RequestArrived,
 )
 from grebedyke.model.outcome import Outcome
+from grebedyke.model.refusal import RefusalReason
 
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 CANCEL_CONFIRMED = b"HTTP/1.1 204 x\r\n\r\n"
@@ -324,7 +325,7 @@
     node.host.requests.fail_unanswered(0, node.host.requests.pending[b"r1"])
     node.run()
     assert client.transport.written.startswith(b"HTTP/1.1 500") and not node.host.requests.pending
-    node.host.perform(0, Throttle(b"r1", 0))
+    node.host.perform(0, Throttle(b"r1", 0, RefusalReason.TOO_LATE))
     assert client.transport.written.count(b"HTTP/1.1") == 1
 
 
@@ -365,7 +366,7 @@
     node = SocketlessNode()
     node.batch.enqueue(lambda now: 1 / 0)
     client = node.send_request()
-    node.act(Fail(b"r1"), now=0)
+    node.act(Fail(b"r1", RefusalReason.TOO_LATE), now=0)
     assert client.transport.written.startswith(b"HTTP/1.1 500")
 
 
