Endpoints excluded only for an unsure view come back as they were, not as cold

Callers of a node with maintenance were refused by an idle fleet: for a whole warm-up time after the node's start, and again after each moment in which its view was not certain.

Cause: exclusions are applied as bans, and the end of a ban means that the executor was restarted behind it. An unsure view excludes every machine of an open plan, and a process without its first lease every executor, so all of them counted as restarted at once and got a slow start's part.

ExcludeEndpoints now names what may have been restarted: seen out, back, or no longer in the rollout. A machine that waits was never out, and one that is done was seen warm by the driver, so rule 4 is kept.

--- a/grebedyke/consensus/actions.py
+++ b/grebedyke/consensus/actions.py
@@ -49,10 +49,13 @@
     Attributes:
         names: The excluded endpoints.
         all_others: Whether all other endpoints are excluded as well.
+        restarted: Endpoints not excluded any more that may have been restarted meanwhile; all others come
+            back as they were.
     """
 
     names: frozenset[str]
     all_others: bool
+    restarted: frozenset[str] = frozenset()
 
 
 class AnswerCall(NamedTuple):
--- a/grebedyke/maintenance/component.py
+++ b/grebedyke/maintenance/component.py
@@ -7,7 +7,7 @@
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.driver import Driver
 from grebedyke.maintenance.endpoints import KnownEndpoints
-from grebedyke.maintenance.exclusions import Exclusions, excluded_endpoints
+from grebedyke.maintenance.exclusions import Exclusions
 from grebedyke.maintenance.messages import LeaseAnswer, LeaseRequest, MessageKind
 from grebedyke.maintenance.observations import Observations
 from grebedyke.maintenance.operator_calls import (
@@ -129,8 +129,8 @@
 
     def update_exclusions(self, now):
         """Tells the host which endpoints this node must not use, and watches its attempts there."""
-        names = excluded_endpoints(self.rollout, self.lease.is_certain(now))
-        action = self.exclusions.update(now, names, self.has_no_view())
+        is_certain = self.lease.is_certain(now)
+        action = self.exclusions.update(now, self.rollout, is_certain, self.has_no_view())
         self.watched_endpoints = self.exclusions.names
         if action is not None:
             self.pending_actions.append(action)
--- a/grebedyke/maintenance/exclusions.py
+++ b/grebedyke/maintenance/exclusions.py
@@ -2,7 +2,7 @@
 
 from grebedyke.consensus.actions import ExcludeEndpoints
 from grebedyke.maintenance.plan import is_node
-from grebedyke.maintenance.rollout import EXCLUDED_STATES, EXCLUDED_STATES_WHEN_UNSURE
+from grebedyke.maintenance.rollout import EXCLUDED_STATES, EXCLUDED_STATES_WHEN_UNSURE, MachineState
 
 
 def excluded_endpoints(rollout, is_certain):
@@ -26,17 +26,41 @@
         self.names = frozenset()
         self.open_names = frozenset()
         self._excluded_since: dict[str, int] = {}
-        self._last_action: ExcludeEndpoints | None = None
+        self._taken_out: set[str] = set()
+        self._last_names: tuple[frozenset[str], bool] | None = None
 
-    def update(self, now, names, all_others):
-        """Excludes these endpoints; returns the action for the host, None where it knows that already."""
+    def update(self, now, rollout, is_certain, all_others):
+        """Excludes endpoints by the newest known rollout.
+
+        Args:
+            now: The node's clock, in ticks.
+            rollout: The `Rollout`.
+            is_certain: Whether no newer one can be in force.
+            all_others: Whether no endpoint at all may be used.
+
+        Returns:
+            The action for the host; None where it knows that already.
+        """
+        names = excluded_endpoints(rollout, is_certain)
+        self._taken_out.update(rollout.machines_in(EXCLUDED_STATES))
+        restarted = self._restarted(rollout, self.names - names)
+        self._taken_out -= restarted
         self.names = names
         self._excluded_since = {name: self._excluded_since.get(name, now) for name in names}
-        action = ExcludeEndpoints(names, all_others)
-        if action == self._last_action:
+        if (names, all_others) == self._last_names:
             return None
-        self._last_action = action
-        return action
+        self._last_names = (names, all_others)
+        return ExcludeEndpoints(names, all_others, restarted)
+
+    def _restarted(self, rollout, released):
+        """Returns which endpoints to treat as restarted, of those that may be used from now on.
+
+        A machine that only waits was never out: it was excluded as the view might have been old. What became
+        of one that the rollout no longer has is not known. One that is back is warming up, also where this
+        node has not seen it leave.
+        """
+        suspects = {name for name in released if name in self._taken_out or name not in rollout.machines}
+        return frozenset(suspects.union(rollout.machines_in([MachineState.BACK])))
 
     def report_open(self, names):
         """Takes the host's report of open attempts; returns whether it differs from the last one."""
--- a/grebedyke/model/endpoint_list.py
+++ b/grebedyke/model/endpoint_list.py
@@ -52,7 +52,7 @@
         total_weight: Of the healthy endpoints.
         top_tier_share: Share of the endpoints that are in the upper tier.
         sends: Attempts sent by this node over the last 16 s.
-        banned: By identifier, since when an operator has it out; kept though the list may lose the endpoint.
+        banned: By identifier, since when it is out at this node; kept though the list may lose it.
         returned: By identifier, (out since, back since) of endpoints that came back from a ban.
         known_ids: Identifiers that the list had of late, the newest last.
 
@@ -83,8 +83,15 @@
         self.returned = {}
         self.known_ids = {}
 
-    def set_banned(self, now, id, banned):
-        """An operator takes an endpoint out or puts it back, whatever the list says.
+    def set_banned(self, now, id, banned, was_restarted=True):
+        """Takes an endpoint out or puts it back, whatever the list says.
+
+        Args:
+            now: The time in ticks.
+            id: Identifier of the endpoint.
+            banned: Whether it is out from now on.
+            was_restarted: Where it is put back: whether its process may have been restarted meanwhile. It is
+                cold then, though the list may not show the new start yet.
 
         Returns:
             Whether the list ever had it.
@@ -93,8 +100,9 @@
         if banned and id in self.known_ids:
             self.banned.setdefault(id, now)
         elif id in self.banned:
-            # It was restarted meanwhile and is cold, though the list may not show the new start yet.
-            self.returned[id] = self.banned.pop(id), now
+            banned_since = self.banned.pop(id)
+            if was_restarted:
+                self.returned[id] = banned_since, now
         self.update(now, False, [row_of(endpoint)] if endpoint else [])
         return id in self.known_ids
 
--- a/grebedyke/policy/dispatcher.py
+++ b/grebedyke/policy/dispatcher.py
@@ -94,10 +94,10 @@
             self._actions = None
         return action
 
-    def set_banned(self, now, endpoint_id, banned):
-        """An operator bans an endpoint or takes that back; returns whether the list ever had it."""
+    def set_banned(self, now, endpoint_id, banned, was_restarted=True):
+        """Bans an endpoint or ends the ban; see `EndpointList.set_banned`."""
         self.context.changes += 1
-        return self.context.endpoints.set_banned(now, endpoint_id, banned)
+        return self.context.endpoints.set_banned(now, endpoint_id, banned, was_restarted)
 
     def place_again(self):
         """Looks at all waiting requests with the next action, as after a reload."""
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -149,9 +149,9 @@
     }
 
 
-def _set_banned(host, messages, now, endpoint_id, is_banned):
+def _set_banned(host, messages, now, endpoint_id, is_banned, was_restarted=True):
     """Bans an endpoint in both processes of this node, or ends the ban."""
-    is_known = host.endpoint_updates.set_banned(now, endpoint_id, is_banned)
+    is_known = host.endpoint_updates.set_banned(now, endpoint_id, is_banned, was_restarted)
     if is_known:
         messages.send_ban(endpoint_id, is_banned)
     return is_known
--- a/grebedyke/service/component_host.py
+++ b/grebedyke/service/component_host.py
@@ -27,14 +27,15 @@
 
     Attributes:
         send_datagram: send_datagram(node, bytes) to another node.
-        set_ban: set_ban(now, name, is_banned) of an endpoint; returns whether the node knows it.
+        set_ban: set_ban(now, name, is_banned, was_restarted=True) of an endpoint; returns whether the node
+            knows it. An endpoint that was restarted while it was banned comes back cold.
         with_open_attempts: with_open_attempts(names) returns those that have attempts in flight here.
         listed_names: Returns the names of all endpoints on the list.
         banned_names: Returns the names of the endpoints that are banned.
     """
 
     send_datagram: Callable[[int, bytes], None]
-    set_ban: Callable[[int, str, bool], bool]
+    set_ban: Callable[..., bool]
     with_open_attempts: Callable[[Iterable[str]], list[str]]
     listed_names: Callable[[], Iterable[str]]
     banned_names: Callable[[], Iterable[str]]
--- a/grebedyke/service/endpoint_exclusions.py
+++ b/grebedyke/service/endpoint_exclusions.py
@@ -54,10 +54,11 @@
         for name in wanted - self.excluded:
             if self.node.set_ban(now, name, True):
                 self.excluded.add(name)
+        restarted = {name for exclusion in self.requested.values() for name in exclusion.restarted}
         for name in self.excluded - wanted:
             self.excluded.discard(name)
             if name not in self.banned_by_operator:
-                self.node.set_ban(now, name, False)
+                self.node.set_ban(now, name, False, name in restarted)
 
     def operator_ban(self, now, name, is_banned):
         """An operator bans an endpoint at this node or ends the ban; returns whether the node knows it."""
--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -46,12 +46,12 @@
         """Reports that the list or its subscription could not be had."""
         self.dispatcher.handle(now, EndpointListUnavailable())
 
-    def set_banned(self, now, endpoint_id, is_banned):
-        """Bans an endpoint or ends the ban; returns whether the endpoint is known."""
+    def set_banned(self, now, endpoint_id, is_banned, was_restarted=True):
+        """Bans an endpoint or ends the ban; see `EndpointList.set_banned`."""
         if is_banned:
             # What still connects would reach an executor of which the operators were told that it is out.
             self.attempts.withdraw_unsent_from(now, endpoint_id)
-        return self.dispatcher.set_banned(now, endpoint_id, is_banned)
+        return self.dispatcher.set_banned(now, endpoint_id, is_banned, was_restarted)
 
     # State transfer: the keys are part of the messages between two processes.
 
--- a/grebedyke/testbed/hollow_node.py
+++ b/grebedyke/testbed/hollow_node.py
@@ -140,7 +140,7 @@
         return NodeAccess(
             send_datagram=peers.send,
             # A node that sends to nobody knows each executor that it is told to exclude.
-            set_ban=lambda now, name, is_banned: True,
+            set_ban=lambda now, name, is_banned, was_restarted=True: True,
             with_open_attempts=lambda names: [],
             listed_names=lambda: [row[0] for row in self._shared.endpoint_rows],
             banned_names=lambda: [],
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -121,7 +121,7 @@
     def handle(self, now, event):
         self.events.append(event)
 
-    def set_banned(self, now, name, is_banned):
+    def set_banned(self, now, name, is_banned, was_restarted=True):
         return None
 
 
--- /dev/null
+++ b/tests/test_exclusions.py
@@ -0,0 +1,164 @@
+"""What a node excludes while its view of maintenance is not certain, and how it ends that."""
+
+import asyncio
+from types import SimpleNamespace
+
+from helpers import dispatcher, rows
+from test_maintenance import make_rollout, make_settings
+
+from grebedyke.consensus.actions import ExcludeEndpoints
+from grebedyke.emulators import http_messages
+from grebedyke.maintenance.component import Maintenance
+from grebedyke.maintenance.exclusions import Exclusions
+from grebedyke.maintenance.rollout import MachineState, MachineStatus, Rollout
+from grebedyke.service.endpoint_exclusions import ALL_ENDPOINTS, EndpointExclusions
+from grebedyke.testbed import trial
+from grebedyke.testbed.process_cluster import ProcessCluster
+from grebedyke.testbed.process_cluster_settings import ProcessClusterSettings
+
+NAMES = ("s-1", "s-2")
+WARM_UP_SECONDS = 20
+
+
+def rollout_with(revision, **states):
+    machines = {name.replace("_", "-"): MachineStatus(state, 2, 0) for name, state in states.items()}
+    return make_rollout(revision, machines)
+
+
+def node_with_exclusions(now=10):
+    """A dispatcher with two warm endpoints that have earned credit, and the exclusions at its node."""
+    node = dispatcher(nodes=2)
+    node.listed(now, True, rows(*NAMES))
+    for endpoint in node.endpoints.healthy:
+        endpoint.credit = 9.0
+    access = SimpleNamespace(
+        set_ban=node.set_banned,
+        listed_names=lambda: node.endpoints.by_id,
+        banned_names=lambda: node.endpoints.banned,
+    )
+    return node, EndpointExclusions(access)
+
+
+def test_endpoints_that_only_waited_for_their_turn_come_back_as_they_were():
+    """A node that lost its view for a moment took all executors of the plan for restarted ones.
+
+    It sent each of them next to nothing until their warm-up time was over, and refused an idle fleet's work.
+    """
+    now = 50_000
+    node, exclusions = node_with_exclusions()
+    view = Exclusions(drain_grace=0)
+    waiting = rollout_with(3, s_1=MachineState.WAITING, s_2=MachineState.WAITING)
+    unsure = view.update(now, waiting, is_certain=False, all_others=False)
+    exclusions.request(now, "maintenance", unsure)
+    assert not node.endpoints.healthy
+    certain = view.update(now + 5_000, waiting, is_certain=True, all_others=False)
+    exclusions.request(now + 5_000, "maintenance", certain)
+    assert [endpoint.credit for endpoint in node.endpoints.healthy] == [9.0, 9.0]
+    assert all(node.endpoints.warmth(endpoint, now + 5_000) == 1 for endpoint in node.endpoints.healthy)
+
+
+def test_a_process_that_has_just_started_uses_warm_endpoints_as_such():
+    """Until its first lease a process uses no endpoint; then it took all of them for cold ones."""
+    node, exclusions = node_with_exclusions()
+    consensus = SimpleNamespace(keys=[], listeners=[], members=[], is_voting=lambda: False, epoch=1)
+    component = Maintenance(consensus, "f", 0, 3, 1, make_settings())
+    exclusions.exclude_all([component])
+    exclusions.apply(20)
+    assert not node.endpoints.healthy and exclusions.requested == {component: ALL_ENDPOINTS}
+    view = Exclusions(drain_grace=0)
+    view.update(20, Rollout(), is_certain=False, all_others=True)
+    exclusions.request(5_000, component, view.update(5_000, Rollout(), is_certain=True, all_others=False))
+    assert all(node.endpoints.warmth(endpoint, 5_000) == 1 for endpoint in node.endpoints.healthy)
+
+
+def test_endpoints_that_were_out_come_back_cold():
+    """Rule 4: a restart behind an exclusion may not show in the list yet."""
+    for states_meanwhile, restarted in (
+        # Taken out before this node's eyes, whatever became of it.
+        ([MachineState.LEAVING, MachineState.SKIPPED], True),
+        ([MachineState.FREE, MachineState.BACK], True),
+        # Out and back while the view was not certain.
+        ([MachineState.WAITING, MachineState.BACK], True),
+        ([MachineState.WAITING, None], True),
+        # Warm again by the driver's sight, or never out.
+        ([MachineState.WAITING, MachineState.DONE], False),
+        ([MachineState.WAITING, MachineState.SKIPPED], False),
+    ):
+        view = Exclusions(drain_grace=0)
+        before, after = states_meanwhile
+        view.update(10, rollout_with(3, s_1=before), is_certain=False, all_others=False)
+        rollout = rollout_with(4, s_1=after) if after else Rollout(revision=4)
+        action = view.update(20, rollout, is_certain=True, all_others=False)
+        expected = frozenset({"s-1"} if restarted else ())
+        assert action == ExcludeEndpoints(frozenset(), False, expected), states_meanwhile
+
+
+def test_the_component_tells_its_host_what_may_have_restarted():
+    consensus = SimpleNamespace(keys=[], listeners=[], members=[], is_voting=lambda: False, epoch=1)
+    component = Maintenance(consensus, "f", 0, 3, 1, make_settings())
+    component.rollout = rollout_with(3, s_1=MachineState.FREE, s_2=MachineState.DONE)
+    component.update_exclusions(0)
+    component.lease.certain_until = 1_000
+    component.rollout = rollout_with(4, s_1=MachineState.BACK, s_2=MachineState.DONE)
+    component.update_exclusions(10)
+    first, last = component.take_exclusions()
+    assert first.names == {"s-1"} and first.all_others
+    assert last == ExcludeEndpoints(frozenset(), False, frozenset({"s-1"}))
+
+
+async def lose_view_for_a_moment(cluster, name):
+    """Cuts a node off until its view is no longer certain, and gives it back; returns once it is."""
+    relay = cluster.relay
+    number = cluster.number(name)
+    links = [link for link in relay.links if number in link]
+    for is_cut in (True, False):
+        for link in links:
+            relay.links[link].is_cut = is_cut
+        while (await cluster.status(name))["sure"] == is_cut:
+            await asyncio.sleep(0.02)
+
+
+async def succeeded_at(cluster, name, count):
+    """Hands a node requests, one after the other; returns how many succeed."""
+    succeeded = 0
+    for number in range(count):
+        response = await http_messages.call(
+            cluster.nodes[name],
+            "POST",
+            "/view/k",
+            b'{"work_ms": 5}',
+            headers={"X-Request-ID": f"{name}-{number}", "X-Timeout-Ms": 1000},
+        )
+        succeeded += response.status == 200
+    return succeeded
+
+
+class SlowlyWarmingCluster(ProcessCluster):
+    """A cluster whose executors take long to warm up, as real ones do."""
+
+    def _deployment(self, number):
+        deployment = super()._deployment(number)
+        deployment["rules"]["rampTimeMs"] = WARM_UP_SECONDS * 1000
+        return deployment
+
+
+def test_a_node_serves_as_before_once_its_view_is_certain_again():
+    async def story():
+        settings = ProcessClusterSettings(operations=trial.OPERATIONS, nodes=3, executors=6)
+        cluster = SlowlyWarmingCluster(settings)
+        try:
+            await cluster.start()
+            while not (await cluster.status("n2"))["sure"]:
+                await asyncio.sleep(0.02)
+            plan = {"machines": [*cluster.executors], "most": 1, "workMs": 60_000}
+            status = 0
+            while status != 200:  # a node that has just begun knows no machine yet
+                status, _ = await cluster.call("n0", "POST", "/v1/maintenance/plan", plan)
+            before = await succeeded_at(cluster, "n2", 20)
+            await lose_view_for_a_moment(cluster, "n2")
+            return before, await succeeded_at(cluster, "n2", 20)
+        finally:
+            await cluster.close()
+
+    before, after = asyncio.run(asyncio.wait_for(story(), 60))
+    assert (before, after) == (20, 20)
