Answers of probes that come after the next probe count where nothing better is known

Callers were refused by an idle fleet wherever a probe's answer took longer than 50 ms: a far zone, a slow probe path, a busy machine. The counts by reason showed none_ready and no_report beside unready=0, low_credit=0, excess_ms near 0.

Cause: Probing.next_probe replaced the endpoint probed before, so that its answer was never looked at; the fourth unanswered probe gave the request up with time left; and a request that came while all endpoints were being probed for others had none to probe.

Now a late answer that promises a start at once counts when the present round has none or is the last one; without any answer a request waits for the open probes as long as it has time; with none left to probe it waits for those of others. It works as the answer is as fresh as any other when it comes: only its way was long.

tests/test_probing.py: both new tests failed before (never sent; throttled).

--- a/grebedyke/model/attempt.py
+++ b/grebedyke/model/attempt.py
@@ -69,6 +69,7 @@
         request.queued = False
         request.reservation = None
         request.probed_endpoints = []
+        request.overdue_probes = []
         endpoint.last_sent_at = sent_at
         endpoint.in_flight[request.id, self.index] = self
         endpoint.slots_in_use += request.slots
--- a/grebedyke/model/request.py
+++ b/grebedyke/model/request.py
@@ -41,7 +41,8 @@
         finished: Its final answer is given, or its client has left.
         search_rounds: Probes or slot requests since it was queued.
         next_search_at: No further probe or slot request before then.
-        probed_endpoints: Endpoints probed for it since its last attempt.
+        probed_endpoints: Endpoints probed for it in the present round.
+        overdue_probes: Endpoints whose answers to probes of earlier rounds had not come when the next began.
         probing_other_zones: Whether the last probe went to another zone.
         slot_request_number: Number of its slot requests; None without coordinators.
         tried_groups: Groups whose coordinators were asked for a slot.
@@ -73,6 +74,7 @@
     search_rounds: int = 0
     next_search_at: int = 0
     probed_endpoints: list = field(default_factory=list)
+    overdue_probes: list = field(default_factory=list)
     probing_other_zones: bool = False
     slot_request_number: int | None = None
     tried_groups: set = frozenset()
--- a/grebedyke/policy/placement.py
+++ b/grebedyke/policy/placement.py
@@ -90,8 +90,11 @@
         candidates = [endpoint for endpoint in probed if not endpoint.probe_sent_at and ready(endpoint, now)]
         awaits_report = now < request.next_search_at and any(endpoint.probe_sent_at for endpoint in probed)
         endpoint, granting_node = request.reservation or (None, None)
-        if not request.reservation and candidates and not awaits_report:
-            endpoint = rules.selection.choose(request, candidates, now, by_reports=True)
+        if not request.reservation:
+            answered = [] if awaits_report else candidates
+            if not answered and (not awaits_report or rules.probing.is_last_round(request)):
+                answered = rules.probing.late_answers(request, now)
+            endpoint = rules.selection.choose(request, answered, now, by_reports=True)
         if endpoint and rules.probing.is_another_worth_it(request, endpoint):
             probe = rules.probing.next_probe(request, now, candidates)
             if probe:
@@ -112,13 +115,16 @@
         elif request.probed_endpoints:
             request.obstacle = RefusalReason.NO_REPORT
         if not self._rules.probing.may_go_on(request, some_are_ready):
-            yield from self._give_up(request, request.obstacle or RefusalReason.NONE_READY)
+            # Without any answer the next one still says something, as long as there is time.
+            if some_are_ready or not self._rules.probing.awaits_answer(request):
+                yield from self._give_up(request, request.obstacle or RefusalReason.NONE_READY)
             return
         probe = self._rules.probing.next_probe(request, now)
         if probe:
             yield probe
-        else:
-            request.obstacle = request.obstacle or RefusalReason.NONE_READY
+        elif not request.obstacle:
+            awaits_answer = self._rules.probing.awaits_answer(request)
+            request.obstacle = RefusalReason.NO_REPORT if awaits_answer else RefusalReason.NONE_READY
 
     def _ready(self, group, now):
         """Some endpoints of the group with room, from a random place in their order by hash on."""
--- a/grebedyke/policy/probing.py
+++ b/grebedyke/policy/probing.py
@@ -55,6 +55,7 @@
         """Draws an endpoint to probe, by weight, and returns the action, or None where none fits."""
         context = self._context
         endpoints = context.endpoints
+        request.overdue_probes += [e for e in request.probed_endpoints if e.probe_sent_at]
         request.probed_endpoints = [*probed_before]
         if request.search_rounds:
             request.probing_other_zones = not request.probing_other_zones
@@ -63,6 +64,9 @@
         request.search_rounds += 1
         request.next_search_at = now + PROBE_WAIT
         pool = [e for e in endpoints.healthy if not e.probe_sent_at and e not in probed_before]
+        if not pool:
+            # All are being probed for other requests, whose answers serve this one as well.
+            request.overdue_probes = [e for e in endpoints.healthy if e.probe_sent_at]
         pool = [e for e in pool if (e.zone != endpoints.zone) == request.probing_other_zones] or pool
         preferred = self._preferred(request, pool, now)
         warm_since = now - endpoints.slow_start.ramp_time
@@ -76,6 +80,28 @@
                 return Probe(endpoint.id)
         return None
 
+    def late_answers(self, request, now):
+        """Endpoints that answered a probe of an earlier round and promise a start at once.
+
+        On a slow path every answer comes later than the next probe. They count only where the present round
+        has no answer: an endpoint that answers late is likely to start late as well.
+        """
+        is_ready = self._context.endpoints.is_ready
+        return [
+            endpoint
+            for endpoint in request.overdue_probes
+            if not endpoint.probe_sent_at and endpoint.expected_wait <= 0 and is_ready(endpoint, now)
+        ]
+
+    def is_last_round(self, request):
+        """Whether no time is left for a probe after the present round."""
+        return request.next_search_at >= request.latest_start
+
+    def awaits_answer(self, request):
+        """Whether a probe of this request, of whichever round, has no answer yet."""
+        probed = (*request.probed_endpoints, *request.overdue_probes)
+        return any(endpoint.probe_sent_at for endpoint in probed)
+
     def _crossing_chance(self):
         endpoints = self._context.endpoints
         gain = endpoints.lateness.at_home - endpoints.lateness.in_other_zones - endpoints.crossing_price
--- a/grebedyke/service/reload.py
+++ b/grebedyke/service/reload.py
@@ -77,6 +77,7 @@
             request.placement_group = None
             request.reservation = None
             request.probed_endpoints = []
+            request.overdue_probes = []
             request.search_rounds = 0
             request.next_search_at = 0
             queue.add(request)
--- a/tests/test_probing.py
+++ b/tests/test_probing.py
@@ -5,6 +5,7 @@
 from helpers import dispatcher, pull, rows
 
 from grebedyke.model.actions import Forward, Probe, Throttle
+from grebedyke.policy.probing import PROBE_WAIT
 
 
 def test_where_own_answers_are_sparse_one_is_probed_and_passed_over_when_full():
@@ -192,3 +193,46 @@
                 if isinstance(action, Probe):
                     node.probed(now, action.endpoint_id, "ok", 4.0, 0.0)
         assert Probe in done and end in done, (still, done)
+
+
+def test_a_late_answer_counts_although_another_endpoint_was_probed_meanwhile():
+    """Each answer took longer than the distance of two probes, and all were thrown away.
+
+    A node with a slow path to its executors, or on a busy machine, refused all work beside an idle fleet.
+    """
+    for delay, slack in ((200, 1_500), (600, 1_500), (1_400, 1_500), (2_500, 12_000)):
+        node = dispatcher(nodes=40, probes=True, back=20_000)
+        node.listed(10, True, rows(*range(8)))
+        operation = node.context.settings.operations["op"]
+        operation.latency_objective = int(slack / 0.6)
+        request = node.taken(10, 5, "op", None, 50_000, 100, 1)
+        answers, forwarded_at = [], None
+        for now in range(10, request.latest_start, 10):
+            for endpoint_id in [endpoint_id for due, endpoint_id in answers if due == now]:
+                node.probed(now, endpoint_id, "ok", 4.0, 0.0)
+            for action in pull(node, now, Forward, Throttle, Probe):
+                assert not isinstance(action, Throttle), (delay, now)
+                if isinstance(action, Forward):
+                    forwarded_at = now
+                else:
+                    answers.append((now + delay, action.endpoint_id))
+            if forwarded_at:
+                break
+        # No answer comes within its own round; one of an earlier round counts at the end of the present one.
+        assert delay <= forwarded_at - 10 <= delay + PROBE_WAIT
+
+
+def test_a_request_for_which_none_is_left_to_probe_waits_for_the_probes_of_others():
+    """Requests that came while every executor was being probed found none to ask, and were refused."""
+    node = dispatcher(nodes=40, probes=True, back=20_000)
+    node.listed(10, True, rows(1, 2))
+    for number in range(4):
+        node.taken(10, number, "op", None, 50_000, 100, 1)
+    probed = [action.endpoint_id for action in pull(node, 10)]
+    assert sorted(probed) == [1, 2]
+    for now in range(20, 710, 10):
+        assert not pull(node, now)
+    for endpoint_id in probed:
+        node.probed(710, endpoint_id, "ok", 4.0, 0.0)
+    forwarded = [action for now in range(710, 1_100, 10) for action in pull(node, now, Forward)]
+    assert sorted(action.request_id for action in forwarded) == [0, 1, 2, 3]
