A request that waits across a reload asks the next coordinator by its operation's name

Callers of a node with coordinators whose request waited across a reload got their answer late: the pass ended with ValueError, and with it whatever it had not looked at.

Cause: the request keeps the Operation that it was taken with, and SlotLending looked that object up among the new settings' operations. Now it goes by the name; an operation that the settings have dropped is asked of no other node, and is given up in time.

tests/test_slot_lending.py: both new cases raised ValueError before.

--- a/grebedyke/model/settings.py
+++ b/grebedyke/model/settings.py
@@ -67,3 +67,11 @@
     weighs_by_work: bool
     capabilities: Capabilities
     limits: RequestLimits
+
+    def peer_number(self, operation):
+        """The number of an operation in peer messages, by its name; None where the settings lack it now.
+
+        A request that waits across a reload keeps the operation that it was taken with.
+        """
+        names = [known.name for known in self.peer_operations]
+        return names.index(operation.name) if operation.name in names else None
--- a/grebedyke/policy/slot_lending.py
+++ b/grebedyke/policy/slot_lending.py
@@ -82,9 +82,14 @@
                 request.over_quota = context.quotas.is_over_quota(now, request.tenant, len(endpoints.groups))
             request.search_rounds += 1
             return None
-        request.asked_group = group
         request.next_search_at = now + ANSWER_TIMEOUT
-        message = self._slot_request(request, group, now)
+        operation_number = context.settings.peer_number(request.operation)
+        if operation_number is None:
+            # Others cannot place it any more; a group of this node's own may still be drawn.
+            request.next_search_at = now + 1
+            return None
+        request.asked_group = group
+        message = self._slot_request(request, operation_number, group, now)
         request.search_rounds += 1
         return SendPeerMessage(coordinator, message)
 
@@ -141,7 +146,7 @@
         request.next_search_at = int(cross_from) + 1 if untried and not pool else request.latest_start
         return self._context.random.pick(pool) if pool else None
 
-    def _slot_request(self, request, group, now):
+    def _slot_request(self, request, operation_number, group, now):
         context = self._context
         return SlotRequest(
             number=request.slot_request_number,
@@ -151,7 +156,7 @@
             tenant=[*context.quotas.tenants, request.tenant].index(request.tenant),
             slots=request.slots,
             tier=request.tier,
-            operation=context.settings.peer_operations.index(request.operation),
+            operation=operation_number,
             is_repeated=request.search_rounds > 0,
             over_quota=request.over_quota,
         )
--- a/tests/test_slot_lending.py
+++ b/tests/test_slot_lending.py
@@ -1,9 +1,9 @@
 """Slots that group coordinators grant to other nodes."""
 
 import pytest
-from helpers import Several, dispatcher, pull, rows
+from helpers import Several, dispatcher, operation, pull, rows
 
-from grebedyke.model.actions import Forward, SendPeerMessage
+from grebedyke.model.actions import Forward, SendPeerMessage, Throttle
 from grebedyke.model.outcome import Outcome
 from grebedyke.model.peer_messages import (
     SlotDenial,
@@ -13,6 +13,7 @@
     SlotRequest,
     SlotStarted,
 )
+from grebedyke.service.reload import adopt_settings
 from grebedyke.wire import peer_codec
 
 
@@ -157,3 +158,34 @@
                 attempt[2] = now + 4_000
     for second in range(4):
         assert 0 < work[1, second] <= 3.0 * 2 * 10_000 * (0.3 + 0.7 * (second + 1) / 8)
+
+
+@pytest.mark.parametrize("name_after, is_sent", [("op", True), ("other", False)], ids=["kept", "dropped"])
+def test_a_request_that_waits_across_a_reload_goes_on_with_its_search(name_after, is_sent):
+    """Its operation is an object of the settings before; looked up in the new list it raised ValueError.
+
+    The pass was lost, and the request given up late. Where the new settings lack the operation, no other
+    node can place it, and it is given up in time.
+    """
+    fleet = Several(4, rows(1))
+    coordinators = fleet.all[0].endpoints.coordinators
+    coordinator = coordinators.node_for(("a", 0), 10)
+    coordinators.on_silence(("a", 0), 10)
+    stand_in = coordinators.node_for(("a", 0), 10)
+    node = next(
+        other for other in fleet.all[1:] if other.endpoints.node_number not in (coordinator, stand_in)
+    )
+    fleet.lost = lambda by, to: True
+    request = node.taken(10, 5, "op", None, 50_010, 1_000, 1)
+    fleet.go(10, 100)
+    fresh = dispatcher(nodes=4, me=node.endpoints.node_number, split=1)
+    changed = operation(name_after)
+    fresh.context.settings = fresh.context.settings._replace(
+        operations={name_after: changed}, peer_operations=[changed]
+    )
+    adopt_settings(110, node, fresh)
+    fleet.lost = lambda by, to: False
+    done = fleet.go(120, request.latest_start + 10)
+    assert bool(forwards(done)) == is_sent
+    if not is_sent:
+        assert [type(action) for _, _, action in done] == [Throttle]
