Executors that need no warming are warm at once: rampTimeMs 0 no longer divides by zero

With rampTimeMs 0, which check takes, callers' requests failed in the pass that looked at an executor in the instant of its start. Warmth is 1 from the ramp time's end on, which is at once where it is 0; for other settings it is the figure that it was. tests/test_slow_start.py: ZeroDivisionError before.

--- a/grebedyke/policy/slow_start.py
+++ b/grebedyke/policy/slow_start.py
@@ -58,6 +58,8 @@
     def warmth(self, endpoint, now):
         """Returns the part of its full rate that the endpoint bears now, up to 1."""
         age = max(now - endpoint.started_at, 0)
+        if age >= self.ramp_time:
+            return 1.0
         return min(1.0, self.initial_warmth + (1 - self.initial_warmth) * age / self.ramp_time)
 
     def is_due(self, endpoint, now, endpoints):
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -97,3 +97,12 @@
     heir = dispatcher(nodes=1)
     heir.endpoints.restore(280_000, orjson.loads(orjson.dumps(node.endpoints.record())))
     assert heir.endpoints.sends.total(280_000) == node.endpoints.sends.total(280_000) > 400
+
+
+def test_executors_that_need_no_warming_are_warm_at_once():
+    """`rampTimeMs` 0 passed the checks, and then the first request to a new executor failed on it."""
+    node = dispatcher()
+    node.endpoints.slow_start.ramp_time = 0
+    node.listed(1_000, True, rows("e", born=1_000))
+    node.taken(1_000, 5, "op", None, 51_000, 1_000, 1)
+    assert [action.endpoint_id for action in pull(node, 1_000, Forward)] == ["e"]
