A call-back whose state is no text is odd, not a fault of the program

Operators saw a turn-fault line with a traceback for an executor's spoilt call-back whose state was a list or an object: it was looked up in a table unseen. It is now counted as odd with a line of its own, as other call-backs that are not understood are; a state that is a number or null, progress until now, is odd as well, as the protocol has texts only. tests/test_client_listener.py: failed before.

--- a/grebedyke/wire/request_headers.py
+++ b/grebedyke/wire/request_headers.py
@@ -184,6 +184,6 @@
     state = fields["state"]
     result = fields.get("result", "")
     result = result.encode() if isinstance(result, str) else orjson.dumps(result)
-    if not (isinstance(request_id, str) and isinstance(executor, str)):
-        raise TypeError("id and from are texts")
+    if not all(isinstance(value, str) for value in (request_id, executor, state)):
+        raise TypeError("id, from and state are texts")
     return JobUpdate(request_id, executor, state, result, fields.get("load"))
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -181,3 +181,17 @@
     client.transport.pause_reading = lambda: paused.append(client.bytes_discarded)
     receive(client, b"x" * 300_000, 8_000)
     assert paused and (1 << 18) < paused[0] < 280_000
+
+
+def test_a_call_back_whose_state_is_no_text_is_odd_and_no_fault_of_this_program():
+    """It raised TypeError amid the batch, and counted as an error of the program."""
+    for state in (b"[]", b"{}", b"7", b"null"):
+        node = SocketlessNode()
+        node.send_request()
+        node.forward()
+        caller = receive(node.client(), call_back_message("done").replace(b'"done"', state.rjust(6)))
+        node.run()
+        assert caller.transport.written.startswith(b"HTTP/1.1 204")
+        counts = node.batch.metrics.counts
+        assert (counts["odd"], counts["faults"]) == (1, 0), state
+        assert not node.attempt_ends()
