Maintenance status tells a lost view's age, and no view as sure after its lease

Operators read the machine's uptime as as_of_ms once a view lease was lost, the very time at which they look, and a log line view sure=True for an answer that came later than its lease. The age was reckoned from the lease's end, which marking it lost overwrites; the line was written for any majority of answers. Decisions went by the lease's end and stay as they were. Two tests of tests/test_maintenance.py failed before: 6000 for 4900, and two lines for none.

--- a/grebedyke/maintenance/component.py
+++ b/grebedyke/maintenance/component.py
@@ -229,12 +229,17 @@
     def lease_answered(self, now, sender, answer):
         """Takes a voter's answer to a lease request."""
         self.consensus.adopt_members(now, answer.epoch, answer.voters)
+        self.expire(now)
         was_certain = self.lease.is_certain(now)
         revision = self.lease.receive_answer(sender, answer)
         if revision is None:
             return
-        if not was_certain:
-            self.log("view", sure=True, rev=revision)
+        if self.lease.is_certain(now):
+            if not was_certain:
+                self.log("view", sure=True, rev=revision)
+        elif not was_certain:
+            # The answer came after its lease had ended: nothing has begun that could end.
+            self.lease.mark_lost()
         self.update_exclusions(now)
 
     # Operators.
--- a/grebedyke/maintenance/operator_calls.py
+++ b/grebedyke/maintenance/operator_calls.py
@@ -72,13 +72,13 @@
         lease: The node's `ViewLease`; `as_of_ms` is how long ago the view was the newest.
         unacknowledged_nodes: The nodes that the rollout waits for.
     """
-    requested_at = lease.requested_at()
+    newest_since = lease.newest_since
     return {
         "rev": rollout.revision,
         "plan": rollout.plan.id if rollout.plan else None,
         "state": rollout.phase.value if rollout.phase else None,
         "sure": lease.is_certain(now),
-        "as_of_ms": None if requested_at is None else (now - requested_at) // TICKS_PER_MILLISECOND,
+        "as_of_ms": None if newest_since is None else (now - newest_since) // TICKS_PER_MILLISECOND,
         "machines": [
             {"name": name, "state": status.state.value, "number": status.number}
             for name, status in rollout.machines.items()
--- a/grebedyke/maintenance/view_lease.py
+++ b/grebedyke/maintenance/view_lease.py
@@ -36,6 +36,8 @@
         duration: How long a lease lasts, in ticks.
         certain_until: The end of the newest lease, in ticks; None before the first one, `LOST` once it is
             over.
+        newest_since: When the newest lease was requested, in ticks, be it over or not: the view was the
+            newest then. None before the first one.
         next_request_at: When the next lease is requested, in ticks.
         pending_requests: Requests that may still be granted, by number.
     """
@@ -44,6 +46,7 @@
         self.consensus = consensus
         self.duration = duration
         self.certain_until: int | None = None
+        self.newest_since: int | None = None
         self.next_request_at = 0
         self.pending_requests: dict[int, PendingLeaseRequest] = {}
 
@@ -64,10 +67,6 @@
         """Notes that a lease was held and is no more."""
         self.certain_until = LOST
 
-    def requested_at(self):
-        """Returns when the lease was requested; None before the first one, no real time once it is over."""
-        return None if self.certain_until is None else self.certain_until - self.duration
-
     def start_request(self, now, number, revision):
         """Notes that a lease for `revision` is requested now; requests too old to count are dropped."""
         self.next_request_at = now + self.duration // REQUESTS_PER_LEASE
@@ -97,4 +96,5 @@
         if grant_count < self.consensus.quorum_size() or answer.epoch != self.consensus.epoch:
             return None
         self.certain_until = max(self.certain_until or LOST, pending.sent_at + self.duration)
+        self.newest_since = max(self.newest_since or pending.sent_at, pending.sent_at)
         return pending.revision
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -2,6 +2,7 @@
 
 from types import SimpleNamespace
 
+from grebedyke.consensus.actions import LogEvent
 from grebedyke.consensus.consensus import Consensus
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.component import Maintenance
@@ -140,3 +141,46 @@
     assert [*decoded.encode()] == ["rev", "plan", "state", "at", "past", "new"]
     assert [*decoded.plan.encode()] == [*plan]
     assert fields["at"] == {"e": ["back", 2, 77]}
+
+
+def component_with_one_voter():
+    consensus = Consensus(SeededRandom(1), "f", 0, 1, [0], 9, 500)
+    component = Maintenance(consensus, "f", 0, 1, 9, make_settings())
+    consensus.acceptor.adopt_members(1, [0])
+    component.restore(0, {})
+    return component
+
+
+def answer_newest_request(component, now):
+    answer = LeaseAnswer(number=component.last_number, granted=True, epoch=1, voters=[0])
+    component.lease_answered(now, 0, answer)
+
+
+def view_lines(component):
+    actions = [action for action in component.pending_actions if isinstance(action, LogEvent)]
+    return [action.fields["sure"] for action in actions if action.event == "view"]
+
+
+def test_the_age_of_a_view_is_told_also_after_its_lease_is_lost():
+    """Operators read the node's uptime in place of the age of what it shows."""
+    component = component_with_one_voter()
+    assert component.status(5)["as_of_ms"] is None
+    component.request_lease(1_000)
+    answer_newest_request(component, 1_010)
+    assert component.status(2_000)["as_of_ms"] == 100
+    component.expire(1_000 + LEASE)
+    status = component.status(50_000)
+    assert not status["sure"] and status["as_of_ms"] == 4_900
+
+
+def test_an_answer_that_comes_after_its_lease_is_no_begin_of_one():
+    """The log told a view as sure that never was."""
+    component = component_with_one_voter()
+    component.request_lease(0)
+    answer_newest_request(component, LEASE + 10)
+    component.expire(LEASE + 10)
+    assert view_lines(component) == [] and not component.view_is_certain(LEASE + 10)
+    component.request_lease(LEASE + 20)
+    answer_newest_request(component, LEASE + 30)
+    component.expire(3 * LEASE)
+    assert view_lines(component) == [True, False]
