A reload names the changed keys that count from the next start only

The keys are compared now, and one warning line names those that changed. What a reload changes is as before. tests/test_reload.py: nine cases, the function is new.

--- a/grebedyke/service/configuration_reload.py
+++ b/grebedyke/service/configuration_reload.py
@@ -5,6 +5,22 @@
 
 from loguru import logger
 
+# Keys that count from the next start; the configuration has all of them.
+KEYS_OF_THE_START = (
+    "name",
+    "listen",
+    "console",
+    "counts",
+    "seed",
+    "limits",
+    "folder",
+    "fleet",
+    "maintenance",
+)
+# What maintenance takes from the settings, at the start as well.
+RULES_OF_MAINTENANCE = ("drainGraceMs", "rampTimeMs")
+OPERATION_KEYS_OF_MAINTENANCE = ("idempotency", "group", "windowMs")
+
 
 class ChangedPart(NamedTuple):
     """A part of the configuration that may change while the node runs.
@@ -68,6 +84,13 @@
                 why=str(problem),
             )
             return
+        disregarded = keys_disregarded(self.configuration, configuration)
+        if disregarded:
+            logger.warning(
+                "reload: changes of {keys} count from the next start",
+                event="reload-disregarded",
+                keys=", ".join(disregarded),
+            )
         self.configuration = configuration
         host, port = configuration["discovery"]
         logger.info(
@@ -92,3 +115,39 @@
                 call(now)
 
         return put_in_force
+
+
+def keys_disregarded(before, after):
+    """Returns the keys that a reload from one configuration to another changes without effect.
+
+    Args:
+        before: The configuration in force.
+        after: The one that was read.
+    """
+    keys = [key for key in KEYS_OF_THE_START if before[key] != after[key]]
+    if _without_limits(before["shares"]) != _without_limits(after["shares"]):
+        keys.append("shares")
+    if before["maintenance"] is not None:
+        keys += _settings_of_maintenance_changed(before["settings"], after["settings"])
+    return keys
+
+
+def _without_limits(shares):
+    """The section without its limits, which do change while the node runs; None without a section."""
+    return None if shares is None else {key: value for key, value in shares.items() if key != "limits"}
+
+
+def _settings_of_maintenance_changed(before, after):
+    for key in RULES_OF_MAINTENANCE:
+        if before["rules"][key] != after["rules"][key]:
+            yield f"settings.rules.{key} for maintenance"
+    if _operations_of_maintenance(before) != _operations_of_maintenance(after):
+        yield "settings.operations for maintenance"
+
+
+def _operations_of_maintenance(settings):
+    return {
+        tuple(row[key] for key in OPERATION_KEYS_OF_MAINTENANCE)
+        for row in settings["operations"]
+        if row["idempotency"] == "keyed"
+    }
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,6 +7,7 @@
 import sys
 
 import orjson
+import pytest
 from emulators import free_port
 from job_emulators import RunningExecutor, send_last_request
 from loguru import logger
@@ -16,6 +17,7 @@
 from grebedyke.model.events import EndpointsChanged
 from grebedyke.service import configuration, node
 from grebedyke.service.assembly import assemble
+from grebedyke.service.configuration_reload import keys_disregarded
 from grebedyke.service.reload import adopt_settings
 
 # An operation that only some of the files have.
@@ -272,6 +274,37 @@
         assert settings_in_force(dispatcher) == expected
 
 
+FLEET_SECTIONS = {
+    "fleet": {"voters": [0]},
+    "maintenance": {"leaseMs": 1_000},
+    "shares": {"leaseMs": 1_000, "limits": []},
+}
+
+
+@pytest.mark.parametrize(
+    "changes, keys",
+    [
+        ({}, []),
+        ({"seed": "8", "counts": 9}, ["counts", "seed"]),
+        ({"limits": {"sockets": 64}, "folder": "/elsewhere"}, ["limits", "folder"]),
+        ({"fleet": None, "maintenance": None}, ["fleet", "maintenance"]),
+        ({"shares": {"leaseMs": 1_000, "limits": [1]}}, []),
+        ({"shares": {"leaseMs": 2_000, "limits": []}}, ["shares"]),
+        ({"shares": None}, ["shares"]),
+        ({"settings": {**SETTINGS, "tickMs": 9}}, []),
+        (
+            {"settings": {**SETTINGS, "rules": {**SETTINGS["rules"], "rampTimeMs": 1}}},
+            ["settings.rules.rampTimeMs for maintenance"],
+        ),
+    ],
+)
+def test_a_reload_names_what_it_disregards(changes, keys):
+    """Changes that count from the next start only were passed over without a word."""
+    before = {**node_file(), "console": None, "counts": 5, "folder": None, "settings": SETTINGS}
+    before = {"limits": {}, "seed": "1", **before, **FLEET_SECTIONS}
+    assert keys_disregarded(before, {**before, **changes}) == keys
+
+
 FAULTY_FILES = (
     # (text or content of the file, None for no file; what the log says)
     ("{", "not JSON"),
