Ports of emulators, fleets and tests lie outside the range of outgoing connections

Beside other runs nodes did not start ("in use") and tests failed by processes that had ended at their start. A port was drawn by binding port 0 and closing it, in three copies of free_port; it lay in the range of outgoing connections (100 of 100 draws), so any connection of any process could be given it before its server listened, and while a node was down between two starts.

grebedyke/emulators/ports.py draws below that range, in blocks that a file lock keeps for one process; emulators that listen at a port of their own use it too, as they come back to it after a restart. The tries anew at "in use" in load and testbed are gone. Which of the failures seen once came from this is not known; none came again.

tests/test_ports.py: not in the range, not drawn by two processes, not while it is used.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -15,7 +15,7 @@
 from benchmarks.measurements import row
 from grebedyke.emulators import http_messages
 from grebedyke.emulators.discovery import DiscoveryEmulator
-from grebedyke.load.fleet import free_port
+from grebedyke.emulators.ports import free_port
 from grebedyke.service.configuration import open_dispatcher, read_node
 
 START_TIMEOUT = 30.0
--- a/grebedyke/emulators/http_messages.py
+++ b/grebedyke/emulators/http_messages.py
@@ -4,6 +4,7 @@
 import ipaddress
 from typing import NamedTuple
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.errors import MalformedMessageError
 
 LARGEST_BODY = 65_536
@@ -175,7 +176,8 @@
 
     async def listen(self, host="127.0.0.1", port=0):
         """Starts to accept connections, at a free port if `port` is 0; returns this server."""
-        self.server = await asyncio.start_server(self._connected, parse_loopback_host(host), port)
+        host = parse_loopback_host(host)
+        self.server = await asyncio.start_server(self._connected, host, port or free_port(host))
         self.address = self.server.sockets[0].getsockname()[:2]
         return self
 
--- a/grebedyke/load/fleet.py
+++ b/grebedyke/load/fleet.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 from dataclasses import dataclass
@@ -14,11 +13,11 @@
 from grebedyke.emulators.executor import ExecutorEmulator
 from grebedyke.emulators.executor_model import ExecutorModel, ExecutorSettings
 from grebedyke.emulators.faults import FaultScript
+from grebedyke.emulators.ports import free_port
 from grebedyke.load.deployment import SPEEDS, ZONES, deployment_settings
 
 START_TIMEOUT = 10.0
 """Seconds that a node gets to be ready."""
-START_TRIES = 3
 START_POLL_PAUSE = 0.05
 STOP_TIMEOUT = 6.0
 """Seconds that a node gets to end by itself."""
@@ -26,13 +25,6 @@
 NODE_COMMAND = (sys.executable, "-m", "grebedyke")
 
 
-def free_port(host="127.0.0.1"):
-    """Returns a port that no one listens on; another process may take it before it is used."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetShape:
     """The size of a fleet.
@@ -77,7 +69,6 @@
         self.seed = seed
         self.host = "127.0.0.1"
         self.folder = tempfile.TemporaryDirectory(prefix="grebedyke-")
-        # A node's port is drawn when it starts: drawn before, an executor's listener could be given it.
         self.nodes = dict.fromkeys(f"n{number}" for number in range(self.shape.nodes))
         self.processes = {}
         self.discovery = None
@@ -118,14 +109,8 @@
 
     async def start_node(self, name):
         """Starts a node at a free port and waits until it is ready."""
-        for tries_left in reversed(range(START_TRIES)):
-            self.nodes[name] = (self.host, free_port(self.host))
-            try:
-                return await self.launch(name)
-            except OSError as problem:
-                # Another connection may have been given the port since it was drawn.
-                if not tries_left or "in use" not in str(problem):
-                    raise
+        self.nodes[name] = (self.host, free_port(self.host))
+        return await self.launch(name)
 
     async def launch(self, name):
         """Starts a node at the address that it has and waits until it is ready.
--- a/grebedyke/testbed/process_cluster.py
+++ b/grebedyke/testbed/process_cluster.py
@@ -11,8 +11,9 @@
 from pathlib import Path
 
 from grebedyke.emulators import http_messages
+from grebedyke.emulators.ports import free_port
 from grebedyke.load.deployment import deployment_settings
-from grebedyke.load.fleet import START_TIMEOUT, FleetShape, LocalFleet, free_port
+from grebedyke.load.fleet import START_TIMEOUT, FleetShape, LocalFleet
 from grebedyke.testbed.launcher import SETTINGS_VARIABLE
 from grebedyke.testbed.network_relay import NetworkRelay
 from grebedyke.testbed.process_cluster_settings import (
@@ -174,7 +175,6 @@
         deadline = loop.time() + START_TIMEOUT
         while not await self._is_serving(name):
             if process.returncode is not None or loop.time() > deadline:
-                self._forget_first_ports(name)
                 raise OSError(f"node {name} did not start: {self.last_log_line(name)}")
             await asyncio.sleep(START_POLL_INTERVAL)
 
@@ -198,17 +198,6 @@
         response = await http_messages.call(self.nodes[name], "GET", "/up", timeout=START_POLL_TIMEOUT)
         return response.status == 200
 
-    def _forget_first_ports(self, name):
-        """Has the ports of a node that has never served drawn anew.
-
-        Between their drawing and their use a relay, or another's connection, may have been given one of them;
-        the node then ends with 'address in use', and would do so at each further start.
-        """
-        if self.start_counts[name] == 1:
-            self.peer_addresses[name] = None
-            self.admin_addresses[name] = None
-            self.start_counts[name] = 0
-
     def last_log_line(self, name):
         """Returns the newest line of a node's log."""
         lines = self.path(name, "log").read_text(errors="replace").strip().splitlines()
--- a/tests/emulators.py
+++ b/tests/emulators.py
@@ -16,13 +16,6 @@
 SMALL_BUFFER = 4_096
 
 
-def free_port():
-    """Returns a TCP port of the loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def port_of(address):
     """Returns the port of a "host:port" text."""
     return int(address.rpartition(":")[2])
--- a/tests/node_files.py
+++ b/tests/node_files.py
@@ -1,8 +1,8 @@
 """Configuration files of nodes: a complete one, and changes to it."""
 
 import orjson
-from emulators import free_port
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.service import configuration
 from grebedyke.service.configuration.node_schema import NODE_SCHEMA
 from grebedyke.validation import validate
--- a/tests/node_harness.py
+++ b/tests/node_harness.py
@@ -2,10 +2,11 @@
 
 import asyncio
 
-from emulators import PATIENCE, BlockingClient, ConnectGate, free_port, open_sockets, until
+from emulators import PATIENCE, BlockingClient, ConnectGate, open_sockets, until
 from node_files import checked_configuration, node_file
 from socketless_node import call_back_message
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.service import node
 from grebedyke.service.assembly import assemble
 
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -6,12 +6,12 @@
 
 import orjson
 import pytest
-from emulators import free_port
 from helpers import dispatcher, pull, rows
 from job_emulators import AcceptingExecutor, send_last_request
 from loguru import logger
 from node_files import LISTED_ROW, OPERATIONS, SETTINGS, node_file
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.model.actions import Fail, Forward, Throttle
 from grebedyke.model.outcome import Effect, Outcome
 from grebedyke.policy.retry_budget import FOREVER, RetryBudget
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -11,13 +11,14 @@
     BlockingClient,
     DiscoveryEmulator,
     ExecutorEmulator,
-    free_port,
     until,
 )
 from node_harness import SETTINGS
 from program_process import Program
 from socketless_node import REQUEST, SocketlessNode, call_back_message, receive
 
+from grebedyke.emulators.ports import free_port
+
 # Seconds within which a change of the endpoint list counts as known to the node.
 KNOWN_AFTER = 6.0
 
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -8,11 +8,11 @@
 import sys
 
 import orjson
-from emulators import free_port
 from job_emulators import RunningExecutor, send_message
 from loguru import logger
 from node_files import LISTED_ROW, OPERATIONS, SETTINGS, checked_configuration, node_file, reader_of
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.service import node
 from grebedyke.service.assembly import assemble
 from grebedyke.service.hot_restart import HotRestart
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -11,11 +11,11 @@
 from emulators import (
     LISTED_EXECUTOR,
     DiscoveryEmulator,
-    free_port,
 )
 from helpers import dispatcher
 from node_harness import SETTINGS, NodeHarness
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.model.endpoint_list import EndpointRow
 from grebedyke.service import node
 from grebedyke.wire.endpoint_rows import parse_endpoint_rows
--- a/tests/test_peer_socket.py
+++ b/tests/test_peer_socket.py
@@ -3,9 +3,9 @@
 import asyncio
 import socket
 
-from emulators import free_port
 from socketless_node import NOW, FakeEventLoop, frozen_batches
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.wire.peer_socket import PeerSocket
 
 
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,48 @@
+"""Ports of servers that are told their address before they listen, and keep it over a restart."""
+
+import socket
+import subprocess
+import sys
+
+from grebedyke.emulators.ports import MAX_BLOCKS, PORTS_PER_BLOCK, PortPool, ephemeral_range, free_port
+
+DRAW_MANY = """
+from grebedyke.emulators.ports import free_port
+print(*(free_port() for _ in range(100)), flush=True)
+input()
+"""
+
+
+def test_no_outgoing_connection_is_given_a_port_that_a_server_comes_back_to():
+    """A node that had ended found its port taken by a client's connection, and did not start again."""
+    first, last = ephemeral_range()
+    with (
+        socket.create_server(("127.0.0.1", 0)) as server,
+        socket.create_connection(server.getsockname()) as client,
+    ):
+        assert first <= client.getsockname()[1] <= last
+    assert not any(first <= free_port() <= last for _ in range(100))
+
+
+def test_processes_at_the_same_time_draw_different_ports():
+    """A request of one test's clients reached another test's node."""
+    processes = [
+        subprocess.Popen(
+            [sys.executable, "-c", DRAW_MANY], stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+        )
+        for _ in range(3)
+    ]
+    try:
+        drawn = [int(port) for process in processes for port in process.stdout.readline().split()]
+        assert len(drawn) == len({*drawn}) == 300
+    finally:
+        for process in processes:
+            process.communicate("\n", timeout=10)
+
+
+def test_a_port_is_not_drawn_twice_in_a_row_and_never_while_it_is_used():
+    pool = PortPool()
+    ports = [pool.draw("127.0.0.1") for _ in range(MAX_BLOCKS * PORTS_PER_BLOCK)]
+    assert len({*ports}) == len(ports)
+    with socket.create_server(("127.0.0.1", ports[0])):
+        assert pool.draw("127.0.0.1") == ports[1]
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,11 +8,11 @@
 
 import orjson
 import pytest
-from emulators import free_port
 from job_emulators import RunningExecutor, send_last_request
 from loguru import logger
 from node_files import LISTED_ROW, OPERATIONS, SETTINGS, node_file, node_file_with, reader_of
 
+from grebedyke.emulators.ports import free_port
 from grebedyke.model.endpoint_list import EndpointRow
 from grebedyke.model.events import EndpointsChanged
 from grebedyke.service import configuration, node
