Each part of the stall logic is held by a scene; a new one holds the repeated reading

Each part of service/batch_loop.py was taken out by itself and the scenes of clients that leave were run: no passes after a stall, no write deferrals, no enqueue_once_read and no time_unread each let attempts begin for clients that had gone, in scenes that stall the loop themselves. All guard against a machine that holds a process up, so they stay.

Only the repeated reading (MAX_READ_PASSES) was held by no test.

--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -383,6 +383,8 @@
     "stall, new": sent_during_a_stall(False),
     "stall, more behind": sent_during_a_stall(True, b"x" * 100_000),
     "stall, new, more behind": sent_during_a_stall(False, b"x" * 100_000),
+    "stall, kept, 1 MB behind": sent_during_a_stall(True, b"x" * 1_000_000),
+    "stall, new, 1 MB behind": sent_during_a_stall(False, b"x" * 1_000_000),
     "stall while it connects": connected_during_a_stall,
     "backlog": in_the_backlog,
     "long batch": in_long_batches(0.3),
