A client of the load tool that stood still itself no longer blames the node

Nothing told whether the node held the request or the client read late.

Cause of what these tests show: where the client's own process stands still until its time is over, the timer and the answer that lies in the kernel come up in one pass; the timer wins and the answer is never read, or it is read late and timed then. The ledger judges an answer by that moment; without a stall of its own process the check is what it was, to the last figure. A request without an answer tells how its connection ended, whether it was new or kept, and for how long its client stood still.

--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -9,6 +9,7 @@
 from grebedyke.emulators import http_messages
 from grebedyke.errors import MalformedMessageError
 from grebedyke.load.ledger import Answer, Ledger
+from grebedyke.load.loop_watch import LoopWatch
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 MOST_IDLE_CONNECTIONS = 64
@@ -17,6 +18,9 @@
 LATE_ANSWER_WAIT = 0.5
 """Seconds beyond its timeout that a client waits: an answer that comes late is to be seen as one."""
 
+LAST_LOOK_TIME = 0.05
+"""Seconds in which a client whose time is over reads what has come while its own process stood still."""
+
 LONGEST_RECORDED_WAIT = 60 * TICKS_PER_SECOND
 RECORDED_DIGITS = 3
 PERCENTILES = (50, 90, 99, 100)
@@ -48,12 +52,14 @@
         self.lag = 0.0
         self._random = random.Random(seed)
         self._loop = asyncio.get_running_loop()
+        self._watch = LoopWatch(self._loop)
         self._idle = {name: [] for name in self.nodes}  # (reader, writer) of connections that are kept
         self._request_count = 0
 
     async def play(self, arrivals):
         """Hands in all requests; returns once each is answered, given up or lost."""
         start = self._loop.time()
+        watching = self._loop.create_task(self._watch.run())
         tasks = set()
         for arrival in arrivals:
             intended = start + arrival.time
@@ -66,6 +72,7 @@
             task.add_done_callback(tasks.discard)
         if tasks:
             await asyncio.wait(tasks)
+        watching.cancel()
         for connections in self._idle.values():
             for _, writer in connections:
                 writer.close()
@@ -97,32 +104,69 @@
         timeout = arrival.operation.timeout + LATE_ANSWER_WAIT
         if arrival.leaves_after is not None:
             timeout = arrival.leaves_after
+        is_kept = bool(self._idle[name])
         reader = writer = None
         try:
             reader, writer = await self._connection(name)
             writer.write(_request(arrival, entry, is_retry))
             entry.sent = self._loop.time()
-            async with asyncio.timeout(timeout):
-                message = await http_messages.read_message(reader)
+            message = await self._read_answer(reader, timeout, entry.sent)
         except TimeoutError:
             entry.left = arrival.leaves_after is not None
+            entry.ending = self._ending(entry, f"no answer in {timeout:g} s", is_kept)
             writer.transport.abort()
             return None
-        except (OSError, MalformedMessageError, EOFError):
+        except (OSError, MalformedMessageError, EOFError) as problem:
             # Refused or broken before anything was sent: no node has taken it.
             entry.refused = entry.sent is None
+            entry.ending = self._ending(entry, repr(problem), is_kept)
             if writer:
                 writer.close()
             return None
         if message is None:
+            entry.ending = self._ending(entry, "the node closed the connection", is_kept)
             writer.close()
             return None
         self._note_answer(entry, message, reader)
         self._keep_or_close(name, message, reader, writer)
         return float(message.headers.get("retry-after", RETRY_AT_ONCE)) if entry.throttled else None
 
+    async def _read_answer(self, reader, timeout, sent):
+        """Reads the answer.
+
+        Where this process stood still, the answer may have come in time and be read only once the time is
+        over: a timeout counts once the loop had time to read what lay there.
+
+        Raises:
+            TimeoutError: None came.
+        """
+        reading = self._loop.create_task(http_messages.read_message(reader))
+        try:
+            await asyncio.wait([reading], timeout=timeout)
+            if not reading.done() and self._watch.longest_stall(sent):
+                await asyncio.wait([reading], timeout=LAST_LOOK_TIME)
+            if not reading.done():
+                raise TimeoutError
+            return reading.result()
+        finally:
+            reading.cancel()
+
+    def _ending(self, entry, what, is_kept):
+        """Describes how a request without an answer ended, for whoever reads a violation."""
+        if entry.sent is None:
+            return what
+        connection = "kept" if is_kept else "new"
+        stall = self._watch.longest_stall(entry.sent)
+        after = self._loop.time() - entry.sent
+        return (
+            f"{what}, {after:.3f} s after it was sent on a {connection} connection; "
+            f"its client stood still for up to {stall:.3f} s"
+        )
+
     def _note_answer(self, entry, message, reader):
-        entry.answers.append(Answer(self._loop.time(), int(message.start_line[1]), message.body))
+        now = self._watch.look()
+        not_before = self._watch.waking_time(now)
+        entry.answers.append(Answer(now, int(message.start_line[1]), message.body, not_before))
         if reader._buffer:  # noqa: SLF001 - asyncio tells in no other way that more bytes have come.
             # Nothing may follow an answer: the ledger takes this for a second one.
             entry.answers.append(Answer(self._loop.time(), 0, b""))
--- a/grebedyke/load/ledger.py
+++ b/grebedyke/load/ledger.py
@@ -43,14 +43,22 @@
     """Something that a client got.
 
     Attributes:
-        time: When.
+        time: When it was read.
         status: The response's status, 0 for bytes that followed a response.
         body: The response's body.
+        not_before: When the client's process was last awake before it read this, where it stood still in
+            between: the answer may have come at any time since. None where it did not.
     """
 
     time: float
     status: int
     body: bytes
+    not_before: float | None = None
+
+    @property
+    def earliest_time(self):
+        """When it may have come at the earliest."""
+        return self.time if self.not_before is None else self.not_before
 
 
 class Visit(NamedTuple):
@@ -78,9 +86,21 @@
         ended: When the client was done with it, None before.
         left: Whether the client went away before the answer.
         refused: Whether no connection took it.
+        ending: How it ended at the client where there was no answer, in words.
     """
 
-    __slots__ = ("id", "operation", "key", "intended", "sent", "answers", "ended", "left", "refused")
+    __slots__ = (
+        "id",
+        "operation",
+        "key",
+        "intended",
+        "sent",
+        "answers",
+        "ended",
+        "left",
+        "refused",
+        "ending",
+    )
 
     def __init__(self, id, operation, key, intended):
         self.id = id
@@ -92,6 +112,7 @@
         self.ended = None
         self.left = False
         self.refused = False
+        self.ending = ""
 
     @property
     def status(self):
@@ -190,10 +211,11 @@
             return
         rule = Rule.ONE_ANSWER_IN_TIME
         if not entry.answers:
-            yield Violation(rule, entry.id, "never answered")
+            ending = f": {entry.ending}" if entry.ending else ""
+            yield Violation(rule, entry.id, f"never answered{ending}")
             return
         timeout = entry.operation.timeout
-        answer_time = entry.answers[0].time
+        answer_time = entry.answers[0].earliest_time
         if answer_time > entry.sent + timeout + TOLERANCE:
             took = answer_time - entry.sent
             yield Violation(
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -3,7 +3,10 @@
 import asyncio
 import json
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+from time import sleep
 
 import pytest
 from click.testing import CliRunner
@@ -14,7 +17,7 @@
 from grebedyke.emulators.executor import ExecutorEmulator
 from grebedyke.emulators.executor_model import Admission, ExecutorModel, ExecutorSettings
 from grebedyke.emulators.faults import FaultKind, FaultScript, parse_fault
-from grebedyke.load.arrivals import ArrivalPattern, LoadShape, Operation, SizeLaw, draw_arrivals
+from grebedyke.load.arrivals import Arrival, ArrivalPattern, LoadShape, Operation, SizeLaw, draw_arrivals
 from grebedyke.load.clients import OpenLoopClients
 from grebedyke.load.fleet import FleetShape, LocalFleet
 from grebedyke.load.ledger import Answer, Ledger
@@ -329,3 +332,62 @@
     summary = json.loads((tmp_path / "d").read_text())
     assert result.exit_code == 0 and "rules: all kept" in result.output and "is killed" in result.output
     assert summary["counts"]["succeeded"] > 60 and summary["broken"] == []
+
+
+class SlowNode(http_messages.LoopbackServer):
+    """Answers each request with 200 after a time; on a loop in a thread of its own."""
+
+    def __init__(self, delay):
+        super().__init__()
+        self.delay = delay
+
+    async def serve(self, reader, writer):
+        """Answers one request."""
+        await http_messages.read_message(reader)
+        await asyncio.sleep(self.delay)
+        writer.write(http_messages.format_message("HTTP/1.1 200 OK"))
+        await reader.read()
+
+
+@contextmanager
+def slow_node(delay):
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    node = SlowNode(delay)
+    asyncio.run_coroutine_threadsafe(node.listen(), loop).result()
+    try:
+        yield node.address
+    finally:
+        asyncio.run_coroutine_threadsafe(node.close(), loop).result()
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.close()
+
+
+async def judge_one_request(address, stall):
+    """Plays one request while the client's loop stands still from 0.05 s on; returns the violations."""
+    clients = OpenLoopClients({"n0": address}, retries=0)
+    asyncio.get_running_loop().call_later(0.05, sleep, stall)
+    await clients.play([Arrival(0.0, VIEW, "t", 0.01, None)])
+    entry = clients.ledger.entries["n0-1-0"]
+    clients.ledger.add_arrivals("s", [(entry.id, entry.sent)])
+    return [violation.description for violation in clients.ledger.violations()]
+
+
+@pytest.mark.parametrize(
+    "delay, stall, words",
+    [
+        (0.1, 0.0, None),
+        # Read after the client's time was over: taken for no answer at all, or for a late one.
+        (0.1, 1.7, None),
+        (0.1, 1.2, None),
+        (1.2, 0.0, "answered 1.2"),
+        (9.0, 0.0, "never answered: no answer in 1.5 s"),
+        (9.0, 1.7, "its client stood still for up to 1.7"),
+    ],
+)
+def test_a_client_that_stood_still_does_not_blame_the_node(delay, stall, words):
+    with slow_node(delay) as address:
+        violations = asyncio.run(judge_one_request(address, stall))
+    assert bool(violations) == bool(words) and all(words in text for text in violations), violations
