Tests of the peer socket wait for what is awaited, not for 50 ms

test_datagrams_come_from_named_nodes_only failed once beside other runs: it waited 50 ms for a datagram, which a busy machine may take longer to hand over. Both tests now wait for the state itself, with the common bound; what must not come is still waited for.

--- a/tests/test_peer_socket.py
+++ b/tests/test_peer_socket.py
@@ -3,11 +3,15 @@
 import asyncio
 import socket
 
+from emulators import until
 from socketless_node import NOW, FakeEventLoop, frozen_batches
 
 from grebedyke.emulators.ports import free_port
 from grebedyke.wire.peer_socket import PeerSocket
 
+# Seconds in which what must not come would come.
+SHORT_WAIT = 0.05
+
 
 def test_datagrams_come_from_named_nodes_only_and_may_be_malformed():
     async def play():
@@ -30,7 +34,8 @@
             nodes[sender].send(receiver, body)
         nodes[1].set_peers([], 0)
         nodes[1].send(0, b"closed")
-        await asyncio.sleep(0.05)
+        await until(lambda: received, "the datagram of the named node")
+        await asyncio.sleep(SHORT_WAIT)
         nodes[0].close()
         nodes[2].close()
         return received
@@ -53,13 +58,10 @@
         if moves:
             peers.set_peers([("127.0.0.1", free_port())], 0)  # is still being opened when it moves on
         peers.set_peers([("127.0.0.1", port)], 0)
-        await asyncio.sleep(0.05)
-        assert not peers.transport and peers.failing
+        await until(lambda: peers.failing, "the first try")
+        assert not peers.transport
         holder.close()
-        for _ in range(200):
-            if peers.transport:
-                break
-            await asyncio.sleep(0.05)
+        await until(lambda: peers.transport, "a try after the address is free")
         own_port = peers.transport and peers.transport.get_extra_info("sockname")[1]
         peers.close()
         return own_port == port
