fleet-log ends with one line at logs of two clocks instead of filling the memory

Operators who read a log in which some lines have a collector's clock and others only the node's lost the command to the memory limit, twice: it made a row for each second from the one clock to the other.

--- a/grebedyke/commands/fleet_log.py
+++ b/grebedyke/commands/fleet_log.py
@@ -3,6 +3,7 @@
 import click
 
 from grebedyke.commands.failing import fail
+from grebedyke.errors import LogRangeError
 
 SHORTEST_SPAN = 0.1
 LONGEST_SPAN = 3600
@@ -23,7 +24,10 @@
     if not SHORTEST_SPAN <= span <= LONGEST_SPAN:
         fail(f"--span is out of its range: {span:g}")
     totals = _read(paths, span)
-    rows = totals.rows()
+    try:
+        rows = totals.rows()
+    except LogRangeError as problem:
+        fail(str(problem))
     if not rows:
         fail(f"no line of a node's counts in {', '.join(paths)}")
     _print(totals, rows, events)
--- a/grebedyke/errors.py
+++ b/grebedyke/errors.py
@@ -34,6 +34,10 @@
     """The record was written by another node or for another fleet."""
 
 
+class LogRangeError(GrebedykeError):
+    """The lines of a fleet's logs lie too far apart to be of one clock."""
+
+
 class MalformedBatchError(GrebedykeError):
     """A line of the simulator's wire is not a batch of events."""
 
--- a/grebedyke/fleetlog/totals.py
+++ b/grebedyke/fleetlog/totals.py
@@ -3,6 +3,7 @@
 from collections import Counter, defaultdict
 from typing import NamedTuple
 
+from grebedyke.errors import LogRangeError
 from grebedyke.service.metrics import ACTIVITY_COUNTS, ANSWER_COUNTS, FAILURE_COUNTS, REFUSAL_COUNTS
 
 COLUMNS = (
@@ -18,6 +19,9 @@
     "warnings",
 )
 
+MOST_SPANS = 100_000
+"""From the first line to the last: over a day of rows of a second."""
+
 WARNING_LEVELS = ("WARNING", "ERROR", "CRITICAL")
 
 LONGEST_INTERVAL = 1.5
@@ -84,7 +88,12 @@
             self.events[line.level, message_pattern(line.message)] += 1
 
     def rows(self):
-        """Returns a `Row` for each span from the first to the last, also for those without a line."""
+        """Returns a `Row` for each span from the first to the last, also for those without a line.
+
+        Raises:
+            LogRangeError: There would be more than `MOST_SPANS` of them.
+        """
+        self._check_range()
         sums = defaultdict(Counter)
         for reports in self._reports.values():
             self._add_node(sums, reports)
@@ -99,6 +108,17 @@
             for index in range(first, last + 1)
         ]
 
+    def _check_range(self):
+        """Guards against lines of two clocks in one log, whose rows would fill the memory."""
+        times = [report.time for reports in self._reports.values() for report in reports]
+        times += [index * self.span for index in self.warnings]
+        duration = max(times, default=0) - min(times, default=0)
+        if duration > MOST_SPANS * self.span:
+            raise LogRangeError(
+                f"the lines lie up to {duration:.0f} s apart, over {MOST_SPANS} rows of {self.span:g} s: "
+                "read logs of different clocks apart, or give a longer span"
+            )
+
     def _add_node(self, sums, reports):
         """Adds one node's reports to the sums by span."""
         reports.sort(key=lambda report: report.time)
--- a/tests/test_fleetlog.py
+++ b/tests/test_fleetlog.py
@@ -73,3 +73,11 @@
     assert result.exit_code == 0 and "all: taken=20 forwards=16" in result.output
     assert "2 lines were no node's" in result.output and "full" not in result.output.splitlines()[0]
     assert (tmp_path / "o.csv").read_text().startswith("at,nodes,taken,")
+
+
+def test_lines_of_two_clocks_end_the_command_and_do_not_fill_the_memory(tmp_path):
+    """A row was made for each second from the one clock to the other; two runs ran out of memory."""
+    lines = [line(1, "a", "counts taken=5"), f"1.5 {line(2, 'a', 'counts taken=6')}"]
+    (tmp_path / "log").write_text("\n".join(lines) + "\n")
+    result = CliRunner().invoke(cli, ("fleet-log", str(tmp_path / "log")))
+    assert result.exit_code == 2 and "read logs of different clocks apart" in result.output + result.stderr
