--- a/grebedyke/service/configuration/source_lines.py
+++ b/grebedyke/service/configuration/source_lines.py
@@ -7,7 +7,7 @@
 
 _TABLE_HEAD = re.compile(r"(\[\[?)\s*([^\]]+?)\s*\]\]?\s*(#.*)?")
 _TOML_ITEM = re.compile(r"([A-Za-z0-9_.\"'-]+)\s*=")
-_JSON_TOKEN = re.compile(r'"(?:[^"\\\\]|\\\\.)*"|[\[\]{},:]|\n')
+_JSON_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{},:]|\n')
 
 
 def line_in_toml(text, path):
@@ -60,6 +60,8 @@
 
     >>> line_in_json('{"a": 1,\n "b": [{"c": "}"},\n {"c": 2}]}', ("b", 1, "c"))
     3
+    >>> line_in_json('{"a": "x\\ty",\n "b": 2,\n "c": 3}', ("c",))
+    3
     """
     lines = {}
     place = []  # The path of what is being read: an index for each list, a key or None for each object.
