A successor ends the exclusions of a process without a view, and keeps operators' bans

A node with maintenance that had never had a view lease excluded all executors; a process started beside it took those that no plan named for an operator's bans and used none of them for ever: its callers were throttled until each executor was resumed by hand.

Cause: the state that is passed on has bans without their origin. A node of a fleet now names those that are out for a component only; nodes outside of a fleet pass on the same bytes as before (tests/test_compatibility.py), and a process of an earlier version that does not send it is treated as before.

tests/test_exclusions.py: the new test failed before, no executor in use in place of one.

--- a/grebedyke/service/endpoint_exclusions.py
+++ b/grebedyke/service/endpoint_exclusions.py
@@ -12,6 +12,7 @@
         requested: By component, the `ExcludeEndpoints` it has asked for last.
         excluded: The endpoints that are banned for a component.
         banned_by_operator: The endpoints that an operator has banned at this node.
+        inherited: Endpoints that were banned for a component of the process before, by its own word.
     """
 
     def __init__(self, node):
@@ -19,6 +20,7 @@
         self.requested = {}
         self.excluded = set()
         self.banned_by_operator = set()
+        self.inherited = set()
 
     def exclude_all(self, components):
         """Sends to no endpoint until those components have said which ones are out."""
@@ -29,7 +31,8 @@
     def take_over(self, components):
         """Sorts the bans that came from the process before this one.
 
-        Those that concern a component are its own and end by its word; the others are an operator's.
+        Those that concern a component, or that were banned for one there, end by the components' word; the
+        others are an operator's.
         """
         concerned = {
             name
@@ -38,9 +41,13 @@
             for name in component.concerned_endpoints()
         }
         banned = {*self.node.banned_names()}
-        self.excluded |= concerned & banned
+        self.excluded |= (concerned | self.inherited) & banned
         self.banned_by_operator |= banned - concerned - self.excluded
 
+    def for_components_only(self):
+        """Returns the endpoints that are banned for a component and by no operator."""
+        return sorted(self.excluded - self.banned_by_operator)
+
     def request(self, now, component, exclusion):
         """Puts a component's `ExcludeEndpoints` in force, in place of its last one."""
         self.requested[component] = exclusion
--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -19,6 +19,7 @@
         unix_time_offset: Added to a Unix time in ticks it gives the node's monotonic time.
         list_listener: Called with the time, whether the rows are the whole list, and discovery's rows, after
             the dispatcher was told; may be None.
+        exclusions: The `EndpointExclusions` of a node of a fleet; None outside of one.
     """
 
     def __init__(self, dispatcher, pool, attempts):
@@ -27,6 +28,7 @@
         self.attempts = attempts
         self.unix_time_offset = 0
         self.list_listener = None
+        self.exclusions = None
 
     def on_list(self, now, is_complete, rows):
         """Applies the endpoint list or a change of it; the rows are discovery's."""
@@ -58,7 +60,7 @@
     def export_state(self):
         """Returns what a successor goes on with, in types that JSON has."""
         dispatcher = self.dispatcher
-        return {
+        state = {
             "executors": dispatcher.endpoints.record(),
             "budget": dispatcher.retry_budget.export_state(),
             "places": [
@@ -67,6 +69,9 @@
                 if endpoint.is_listed and endpoint.address
             ],
         }
+        if self.exclusions:
+            state["excluded"] = self.exclusions.for_components_only()
+        return state
 
     def import_state(self, now, state):
         """Goes on with what another process has exported."""
@@ -76,6 +81,9 @@
         ]
         self.pool.update_endpoints(True, addresses)
         self.dispatcher.endpoints.restore(now, state["executors"])
+        if self.exclusions:
+            # A process of an earlier version does not tell them apart.
+            self.exclusions.inherited = {*state.get("excluded", ())}
         # A process of an earlier version exports no retry budget: what it has sent is unknown.
         budget = state.get("budget") or EMPTY_RETRY_BUDGET
         self.dispatcher.retry_budget.import_state(now, *budget)
--- a/grebedyke/service/fleet_assembly.py
+++ b/grebedyke/service/fleet_assembly.py
@@ -122,6 +122,7 @@
     connect_batches(parts.batch, host)
     connect_datagrams(parts.peers, host)
     parts.host.endpoint_updates.list_listener = host.endpoints_changed
+    parts.host.endpoint_updates.exclusions = host.exclusions
     parts.admin_api.set_banned = host.operator_ban
     parts.admin_api.handle_other_call = host.operator_call
     parts.admin_api.max_body_bytes = LARGEST_CALL
--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import orjson
 from helpers import dispatcher, rows
 from test_maintenance import make_rollout, make_settings
 
@@ -12,6 +13,7 @@
 from grebedyke.maintenance.exclusions import Exclusions
 from grebedyke.maintenance.rollout import MachineState, MachineStatus, Rollout
 from grebedyke.service.endpoint_exclusions import ALL_ENDPOINTS, EndpointExclusions
+from grebedyke.service.endpoint_updates import EndpointUpdates
 from grebedyke.testbed import trial
 from grebedyke.testbed.process_cluster import ProcessCluster
 from grebedyke.testbed.process_cluster_settings import ProcessClusterSettings
@@ -106,6 +108,29 @@
     assert last == ExcludeEndpoints(frozenset(), False, frozenset({"s-1"}))
 
 
+def test_a_successor_of_a_process_without_a_view_does_not_take_its_exclusions_for_an_operators():
+    """A process that had never had a lease excluded all executors, and was replaced beside itself.
+
+    Its successor kept all of them out for ever, as if an operator had banned each.
+    """
+    before, exclusions_before = node_with_exclusions()
+    updates_before = EndpointUpdates(before, SimpleNamespace(endpoints={}), None)
+    updates_before.exclusions = exclusions_before
+    exclusions_before.request(20, "maintenance", ALL_ENDPOINTS)
+    exclusions_before.operator_ban(30, "s-2", True)
+    state = orjson.loads(orjson.dumps(updates_before.export_state()))
+    node, exclusions = node_with_exclusions()
+    updates = EndpointUpdates(node, SimpleNamespace(update_endpoints=lambda *_: None), None)
+    updates.exclusions = exclusions
+    updates.import_state(40, state)
+    assert not node.endpoints.healthy
+    component = SimpleNamespace(controls_exclusions=True, concerned_endpoints=lambda: [])
+    exclusions.take_over([component])
+    exclusions.request(50, "maintenance", ExcludeEndpoints(frozenset(), False))
+    assert [endpoint.id for endpoint in node.endpoints.healthy] == ["s-1"]
+    assert exclusions.banned_by_operator == {"s-2"}
+
+
 async def lose_view_for_a_moment(cluster, name):
     """Cuts a node off until its view is no longer certain, and gives it back; returns once it is."""
     relay = cluster.relay
