A signal in a node's last milliseconds no longer turns its orderly end into a crash

Operators who sent SIGTERM twice, or SIGHUP after it, at times saw a node end with -15, -2 or -1 in place of 0, though it had answered all it had taken: asyncio puts the default actions back when the event loop closes, and the interpreter takes some more milliseconds to end. From the node's end on the three signals are ignored; they are blocked while the actions are changed, so that no moment is left between.

Found by the soak that follows. tests/test_signals.py: signals sent each millisecond up to the end; -15, -2 and -1 before, 0 now.

--- a/grebedyke/service/start.py
+++ b/grebedyke/service/start.py
@@ -11,6 +11,7 @@
 
 # At a reload the environment still goes before the file in these; discovery follows the file alone.
 ENVIRONMENT_OVERRIDES_ON_RELOAD = ("name", "listen", "console", "counts")
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class ExitCode(IntEnum):
@@ -47,7 +48,7 @@
         log.open_log(node_configuration["name"], log_level, log_format)
         if not only_check:
             read_again = partial(configuration.read_node, environ, ENVIRONMENT_OVERRIDES_ON_RELOAD)
-            asyncio.run(node.run(assemble, node_configuration, read_again))
+            asyncio.run(_run_to_the_end(assemble, node_configuration, read_again))
     except configuration.ConfigurationError as problem:
         logger.error("configuration: {why}", event="configuration", why=str(problem))
         return ExitCode.BAD_CONFIGURATION
@@ -55,3 +56,18 @@
         logger.error("cannot serve: {why}", event="cannot-serve", why=str(problem))
         return ExitCode.CANNOT_SERVE
     return ExitCode.OK
+
+
+async def _run_to_the_end(assemble, node_configuration, read_again):
+    """Runs the node, and ignores signals from its end on.
+
+    Guards against a repeated signal that kills the process in its last milliseconds: the event loop puts the
+    default actions back when it closes, and an end in order would look like a crash.
+    """
+    await node.run(assemble, node_configuration, read_again)
+    loop = asyncio.get_running_loop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    for number in HANDLED_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -60,6 +60,20 @@
     assert asyncio.run(play()) == 0
 
 
+@pytest.mark.parametrize("number", (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+def test_signals_up_to_the_last_moment_do_not_change_how_a_node_ends(tmp_path, number):
+    """A second signal came when the event loop had closed, and killed a process that had ended in order."""
+    with Program(tmp_path, node_files.node_file(settings=SETTINGS)) as program:
+        process = program.process
+        assert any("-> serving" in line for line in process.stderr)
+        process.send_signal(signal.SIGTERM)
+        end = time.monotonic() + PATIENCE
+        while process.poll() is None and time.monotonic() < end:
+            process.send_signal(number)
+            time.sleep(0.001)
+        assert process.returncode == 0
+
+
 @pytest.mark.parametrize("number", (signal.SIGTERM, signal.SIGINT))
 def test_a_node_that_is_to_end_in_its_start_ends_with_0(tmp_path, number):
     async def play():
