--- a/grebedyke/commands/main.py
+++ b/grebedyke/commands/main.py
@@ -14,6 +14,7 @@
 from grebedyke.commands.maintenance import maintenance
 from grebedyke.commands.members import members
 from grebedyke.commands.scale import scale
+from grebedyke.commands.soak import soak
 from grebedyke.commands.torture import torture
 
 
@@ -52,7 +53,7 @@
         click.echo("0.1.0 (from a checkout)")
 
 
-for command in (check, fleet_log, demo, load, stand_in, maintenance, members, limits, torture, scale):
+for command in (check, fleet_log, demo, load, stand_in, maintenance, members, limits, torture, soak, scale):
     cli.add_command(command)
 
 
