--- a/grebedyke/maintenance/exclusions.py
+++ b/grebedyke/maintenance/exclusions.py
@@ -26,7 +26,7 @@
         self.names = frozenset()
         self.open_names = frozenset()
         self._excluded_since: dict[str, int] = {}
-        self._taken_out: set[str] = set()
+        self._seen_out: set[str] = set()
         self._last_names: tuple[frozenset[str], bool] | None = None
 
     def update(self, now, rollout, is_certain, all_others):
@@ -42,9 +42,9 @@
             The action for the host; None where it knows that already.
         """
         names = excluded_endpoints(rollout, is_certain)
-        self._taken_out.update(rollout.machines_in(EXCLUDED_STATES))
+        self._seen_out.update(rollout.machines_in(EXCLUDED_STATES))
         restarted = self._restarted(rollout, self.names - names)
-        self._taken_out -= restarted
+        self._seen_out -= restarted
         self.names = names
         self._excluded_since = {name: self._excluded_since.get(name, now) for name in names}
         if (names, all_others) == self._last_names:
@@ -59,7 +59,7 @@
         of one that the rollout no longer has is not known. One that is back is warming up, also where this
         node has not seen it leave.
         """
-        suspects = {name for name in released if name in self._taken_out or name not in rollout.machines}
+        suspects = {name for name in released if name in self._seen_out or name not in rollout.machines}
         return frozenset(suspects.union(rollout.machines_in([MachineState.BACK])))
 
     def report_open(self, names):
--- a/grebedyke/policy/placement.py
+++ b/grebedyke/policy/placement.py
@@ -90,10 +90,8 @@
         candidates = [endpoint for endpoint in probed if not endpoint.probe_sent_at and ready(endpoint, now)]
         awaits_report = now < request.next_search_at and any(endpoint.probe_sent_at for endpoint in probed)
         endpoint, granting_node = request.reservation or (None, None)
-        if not request.reservation:
-            answered = [] if awaits_report else candidates
-            if not answered and (not awaits_report or rules.probing.is_last_round(request)):
-                answered = rules.probing.late_answers(request, now)
+        answered = self._answered(request, candidates, awaits_report, now)
+        if not request.reservation and answered:
             endpoint = rules.selection.choose(request, answered, now, by_reports=True)
         if endpoint and rules.probing.is_another_worth_it(request, endpoint):
             probe = rules.probing.next_probe(request, now, candidates)
@@ -109,6 +107,15 @@
         elif not awaits_report:
             yield from self._probe_or_give_up(request, now, bool(candidates))
 
+    def _answered(self, request, candidates, awaits_report, now):
+        """The endpoints to choose from: those of the present round, without any those that answered late."""
+        probing = self._rules.probing
+        if not awaits_report and candidates:
+            return candidates
+        if awaits_report and not probing.is_last_round(request):
+            return []
+        return probing.late_answers(request, now)
+
     def _probe_or_give_up(self, request, now, some_are_ready):
         if some_are_ready:
             request.obstacle = RefusalReason.TOO_LATE
