Forked processes draw ports of their own

Cause: benchmarks play cases in forked processes, which inherited the pool's blocks and its place in them, so nodes of two cases were told the same address; one ended at its start, and the signal that was to end it found no process. A forked process now begins with a pool of its own; the parent's locks stay the parent's.

tests/test_ports.py, forked processes: 20 different ports of 60 before, 60 now. Test code and emulators only; the node's code is that of the standing test.

--- a/grebedyke/emulators/ports.py
+++ b/grebedyke/emulators/ports.py
@@ -72,6 +72,15 @@
 _pool = PortPool()
 
 
+def _start_over():
+    """Gives a forked process a pool of its own; its parent keeps the locks that both have inherited."""
+    global _pool
+    _pool = PortPool()
+
+
+os.register_at_fork(after_in_child=_start_over)
+
+
 def free_port(host="127.0.0.1"):
     """Returns a port that nobody else is given until this process ends; see `PortPool`."""
     return _pool.draw(host)
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -3,6 +3,9 @@
 import socket
 import subprocess
 import sys
+from concurrent.futures import ProcessPoolExecutor
+from multiprocessing import get_context
+from time import sleep
 
 from grebedyke.emulators.ports import MAX_BLOCKS, PORTS_PER_BLOCK, PortPool, ephemeral_range, free_port
 
@@ -46,3 +49,16 @@
     assert len({*ports}) == len(ports)
     with socket.create_server(("127.0.0.1", ports[0])):
         assert pool.draw("127.0.0.1") == ports[1]
+
+
+def test_forked_processes_draw_different_ports():
+    """Benchmarks play cases in forked processes: two nodes were told one address, and one of them ended."""
+    free_port()
+    with ProcessPoolExecutor(2, get_context("fork")) as pool:
+        drawn = [*pool.map(free_ports, (20, 20)), free_ports(20)]
+    assert len({port for ports in drawn for port in ports}) == 60
+
+
+def free_ports(count):
+    sleep(0.2)  # so that each process of the pool gets one of the calls
+    return [free_port() for _ in range(count)]
