Never take a duplicate response for the response to the next message

Cause: responses are matched to messages by their order. A second 503, 6 ms late, met the next message on its connection. The node held it for 20 ms and then believed it, as proof that the payment never ran, while the payment's own response needed a round trip of 30 ms. A duplicate 202 was not held at all and shifted all later responses of the connection; a cancel and a probe took duplicates for their responses as well.

Change: the ambiguity is avoided instead of resolved. No message is sent within 20 ms of a response whose duplicate it could take for its own, or while the kernel has unread bytes of the connection. An attempt may follow a probe's 200 at once: an attempt's response never has that status, so it is dropped. A rejection is the last response on its connection. Neither the round trip nor the executor's time matters any more.

--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -8,12 +8,9 @@
 from grebedyke.service.attempt_cancellation import AttemptCancellation
 from grebedyke.service.metrics import FAILURE_COUNTS
 from grebedyke.units import TICKS_PER_MILLISECOND
-from grebedyke.wire.executor_connection import ACCEPTED_STATUS, CallResult
+from grebedyke.wire.executor_connection import ACCEPTED_STATUS, CallResult, is_rejection
 from grebedyke.wire.load_reports import report_from_text
 
-# Response statuses that mean a rejected job, if a header says that it was not processed.
-REJECTION_STATUSES = (503, 504)
-
 
 class AttemptSender:
     """Sends attempts and ends each of them exactly once.
@@ -103,7 +100,8 @@
         else:
             load = call_end.headers.get(b"x-server-load", b"").decode("latin-1")
             free_slots = report_from_text(load).plausible_free_slots()
-            self.end(now, attempt, _outcome_of_refusal(call_end), free_slots=free_slots)
+            outcome = Outcome.REJECTED if is_rejection(call_end) else Outcome.FAILED
+            self.end(now, attempt, outcome, free_slots=free_slots)
 
     # Ends.
 
@@ -217,9 +215,3 @@
     if call_end.result is CallResult.ANSWERED:
         return call_end.status != ACCEPTED_STATUS
     return call_end.result is CallResult.UNSENT
-
-
-def _outcome_of_refusal(call_end):
-    was_not_processed = call_end.headers.get(b"x-not-processed") == b"1"
-    is_rejection = was_not_processed and call_end.status in REJECTION_STATUSES
-    return Outcome.REJECTED if is_rejection else Outcome.FAILED
--- a/grebedyke/wire/executor_connection.py
+++ b/grebedyke/wire/executor_connection.py
@@ -1,6 +1,8 @@
 """HTTP calls to an executor, and the connections that send them one at a time."""
 
+import select
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
 from loguru import logger
@@ -8,7 +10,11 @@
 from grebedyke.errors import HttpProtocolError
 from grebedyke.wire.connection import Connection
 
+# The status of a probe's or a cancel's response, which an attempt's response never has.
+OK_STATUS = 200
 ACCEPTED_STATUS = 202
+# Response statuses that mean a rejected job, if a header says that it was not processed.
+REJECTION_STATUSES = (503, 504)
 
 
 class CallResult(Enum):
@@ -41,6 +47,11 @@
     body: bytes
 
 
+def is_rejection(response):
+    """Returns whether a response (`HttpResponse` or `CallEnd`) proves that the job never ran."""
+    return response.status in REJECTION_STATUSES and response.headers.get(b"x-not-processed") == b"1"
+
+
 class ExecutorCall:
     """One request message to an executor; its end is reported exactly once.
 
@@ -115,11 +126,15 @@
 class ExecutorConnection(Connection):
     """A connection to one executor.
 
-    An executor may send a response twice, a few milliseconds apart. If the connection is reused sooner, the
-    duplicate could be taken for the response to the next message: a duplicate "never ran" for an attempt that
-    does run would cause the request to be sent again and to run twice. A possible duplicate is therefore held
-    for `ExecutorPool.duplicate_window`; if a second response follows, that second one belongs to the message.
-    Leaving connections idle for the same time instead would triple the number of connects.
+    Responses carry no identifier, so they are matched to messages by their order alone. An executor may send
+    a response twice, a few milliseconds apart. A duplicate that arrived after the next message would be taken
+    for the response to it and would shift the responses to all later messages. The time of arrival cannot
+    tell the two apart, as neither the round trip nor the executor's own time is bounded. Therefore:
+
+    - No message is sent while a duplicate may still arrive that could be taken for its response; an
+      unsolicited response closes an idle connection.
+    - A rejection, which proves that a job never ran, is the last response on its connection. However late its
+      duplicate arrives, it is not taken for the rejection of another job.
 
     Attributes:
         endpoint: The `ExecutorEndpoint`.
@@ -128,8 +143,8 @@
         idle_since: Time in ticks at which the connection became idle.
         idle_time: Ticks for which it was idle before the last call.
         is_new: Whether it has never been among the endpoint's idle connections.
-        expects_duplicate: Whether the next response may be a duplicate of the previous one.
-        held_response: The possible duplicate that is being held, an `HttpResponse` or None.
+        has_answered_ok: Whether a response on it had the status of a probe's or a cancel's response.
+        attempt_response_at: Time in ticks of the last response that an attempt could have got.
     """
 
     def __init__(self, endpoint):
@@ -140,8 +155,8 @@
         self.idle_since = 0
         self.idle_time = 0
         self.is_new = True
-        self.expects_duplicate = False
-        self.held_response = None
+        self.has_answered_ok = False
+        self.attempt_response_at = -inf
 
     def connection_made(self, transport):
         """Called by asyncio when the connection is established."""
@@ -151,11 +166,9 @@
 
     def send_call(self, call):
         """Sends the message of a call at the end of this batch."""
-        pool = self.endpoint.pool
         self.call = call
         call.connection = self
-        self.idle_time = pool.batch.clock() - self.idle_since
-        self.expects_duplicate = not self.is_new and self.idle_time < pool.duplicate_window
+        self.idle_time = self.endpoint.pool.batch.clock() - self.idle_since
         self.send(call.head, call.body)
 
     def has_unsent_bytes(self):
@@ -181,6 +194,8 @@
 
     def _response_received(self, response):
         call = self.call
+        if call and call.is_attempt and response.status == OK_STATUS and self.has_answered_ok:
+            return  # the duplicate of an earlier response: an attempt's response never has this status
         self.call = None
         if call is None:
             self.abort()  # unsolicited response: later bytes could be taken for the response to another call
@@ -191,30 +206,36 @@
             self.abort()
             call.end(CallResult.UNSENT)
             return
-        if self._may_be_duplicate(call, response):
-            self._hold_response(call, response)
-            return
-        self.held_response = None
-        if self.parser.keep_alive and not call.ended:
+        self._record_response(response)
+        if self.parser.keep_alive and not call.ended and not is_rejection(response):
             self.endpoint.release(self)
         else:
             self.close()
         call.end(CallResult.ANSWERED, response)
 
-    def _may_be_duplicate(self, call, response):
-        is_open_attempt = call.is_attempt and not call.ended
-        return self.expects_duplicate and is_open_attempt and response.status != ACCEPTED_STATUS
+    def _record_response(self, response):
+        if response.status == OK_STATUS:
+            self.has_answered_ok = True
+        else:
+            self.attempt_response_at = self.endpoint.pool.batch.clock()
 
-    def _hold_response(self, call, response):
-        self.call = call
-        self.expects_duplicate = False
-        self.held_response = response
-        pool = self.endpoint.pool
-        pool.batch.call_later(pool.duplicate_window, self._accept_held_response, call)
-
-    def _accept_held_response(self, now, call):
-        if self.call is call and self.held_response and not self.transport.is_closing():
-            self._response_received(self.held_response)
+    def may_get_duplicate(self, is_attempt, now):
+        """Returns whether a next message could be answered by a duplicate of an earlier response.
+
+        A duplicate of a response to a probe or a cancel cannot be taken for an attempt's response.
+
+        Args:
+            is_attempt: Whether the next message is an attempt.
+            now: Time in ticks.
+        """
+        last_response_at = self.attempt_response_at if is_attempt else self.idle_since
+        return now - last_response_at < self.endpoint.pool.duplicate_window or self._has_unread_bytes()
+
+    def _has_unread_bytes(self):
+        """Returns whether the kernel has bytes, or the executor's close, that were not read yet."""
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLIN)
+        return bool(poll.poll(0))
 
     def eof_received(self):
         """Called by asyncio on EOF from the executor, which may complete a response."""
--- a/grebedyke/wire/executor_pool.py
+++ b/grebedyke/wire/executor_pool.py
@@ -9,7 +9,7 @@
 from grebedyke.wire.executor_connection import CallResult, ExecutorCall, ExecutorConnection
 from grebedyke.wire.http_messages import request_head
 
-# Ticks within which a duplicate response of an executor arrives, if there is one.
+# Ticks after a response of an executor within which its duplicate arrives, if there is one.
 DUPLICATE_WINDOW = 20 * TICKS_PER_MILLISECOND
 # Each second the usable idle time grows by a tenth plus this many ticks, up to the maximum.
 USABLE_TIME_STEP = 10
@@ -108,7 +108,7 @@
         is_attempt = method == b"POST"
         head = request_head(method, target, self.host, headers, len(body) if is_attempt else None)
         call = ExecutorCall(self, head, body, on_end, is_attempt)
-        connection = self._take_idle_connection(call.started_at)
+        connection = self._take_idle_connection(call.started_at, is_attempt)
         if connection:
             connection.send_call(call)
         elif self.address and self.pool.ensure_capacity():
@@ -117,18 +117,20 @@
             self.pool.batch.enqueue(lambda now: call.end(CallResult.UNSENT))
         return call
 
-    def _take_idle_connection(self, now):
+    def _take_idle_connection(self, now, is_attempt):
         """Removes and returns the most recently used idle connection, None if none is usable.
 
-        Executors close connections that are idle for long, and a message that crosses the close ends in a
-        reset. A connection too old for use stays open until the sweep: if the executor closes it earlier, the
-        pool learns the executor's idle timeout from that.
+        A connection on which a duplicate of an earlier response may still arrive is not usable yet. Executors
+        close connections that are idle for long, and a message that crosses the close ends in a reset. A
+        connection too old for use stays open until the sweep: if the executor closes it earlier, the pool
+        learns the executor's idle timeout from that.
         """
-        while self.idle and now - self.idle[-1].idle_since < self.pool.usable_idle_time:
-            connection = self.idle.pop()
-            if not connection.transport.is_closing():
+        for connection in reversed(self.idle):
+            if now - connection.idle_since >= self.pool.usable_idle_time:
+                return None
+            if not (connection.transport.is_closing() or connection.may_get_duplicate(is_attempt, now)):
+                self.idle.remove(connection)
                 return connection
-            connection.close()
         return None
 
     def _begin_connect(self, call):
@@ -216,7 +218,7 @@
         connecting: Number of connects in progress.
         usable_idle_time: Maximum idle time in ticks for a connection to be reused. It adapts at run time,
             because executors may close connections earlier than the settings assume.
-        duplicate_window: Ticks within which a duplicate response to the previous message may arrive.
+        duplicate_window: Ticks after a response within which a duplicate of it may arrive.
     """
 
     def __init__(self, loop, batch, settings, max_connections):
@@ -235,7 +237,6 @@
         """Applies changed settings."""
         self.settings = settings
         self.usable_idle_time = min(self.usable_idle_time, settings.max_idle_time)
-        self.duplicate_window = DUPLICATE_WINDOW
 
     def share_connections(self, is_shared):
         """Halves the limit while another process of this node serves, so both together stay within it."""
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -1,5 +1,6 @@
 """A node's connections and request table with fake sockets, event loop and dispatcher, and a fixed clock."""
 
+import socket
 from types import SimpleNamespace
 
 from grebedyke.model.actions import Forward
@@ -17,6 +18,8 @@
 
 # Time of the fixed clock, in ticks.
 NOW = 1_000_000
+# A socket that never has unread bytes, and its peer, which keeps it open.
+QUIET_SOCKET, QUIET_SOCKET_PEER = socket.socketpair()
 # A client's request with a client timeout of 4 s.
 REQUEST = (
     b"POST /op/k?q=1 HTTP/1.1\r\nX-Request-ID: r1\r\nX-Timeout-Ms: 4000\r\nIdempotency-Key: i1\r\n"
@@ -52,6 +55,7 @@
         closing: Whether the connection is closed.
         ended_sending: Whether only the sending side is closed.
         stuck: Whether the kernel accepts no written bytes.
+        socket: The socket, of which a connection asks whether it has unread bytes.
         protocol: The connection.
     """
 
@@ -61,6 +65,11 @@
         self.ended_sending = False
         self.stuck = False
         self.protocol = protocol
+        self.socket = QUIET_SOCKET
+
+    def get_extra_info(self, name):
+        assert name == "socket"
+        return self.socket
 
     def set_write_buffer_limits(self, high):
         assert high == 0
--- a/tests/test_executor_connections.py
+++ b/tests/test_executor_connections.py
@@ -1,13 +1,18 @@
 """Connections to executors: events between a connect and its use, or between a response and the next call."""
 
 import asyncio
+import socket
+from functools import partial
 
 import pytest
 from emulators import ACCEPTED, BlockingClient, DiscoveryEmulator, ExecutorEmulator, port_of, until
 from node_harness import NodeHarness
+from socketless_node import NOW, SocketlessNode, receive
 
+from grebedyke.model.actions import Probe
+from grebedyke.model.outcome import Outcome
 from grebedyke.wire.endpoint_rows import ListedEndpoint
-from grebedyke.wire.executor_connection import CallResult
+from grebedyke.wire.executor_connection import CallResult, ExecutorCall
 
 NEVER_RAN = b"HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -221,41 +226,160 @@
 
 @pytest.mark.parametrize("twice", (True, False))
 def test_duplicate_response_is_not_taken_for_the_next_attempts(twice):
-    """An executor sends "never ran" twice, the second time after the next request on that connection.
+    """An executor in another data centre sends its response twice, and answers the next attempt later.
 
-    If the duplicate were taken for the response to that request, the request would be sent again and run
-    twice. A response that is not a duplicate must still be accepted, after a delay.
+    A duplicate "never ran" that was taken for the response to a job that runs caused the job to run twice. A
+    response that is not a duplicate must still be accepted.
     """
 
     async def scenario():
         executor = await ExecutorEmulator().start()
         async with NodeHarness(executor.row()) as harness:
-            harness.pool.duplicate_window = 60_000 if twice else 2_000  # long enough for a slow machine
+            harness.pool.duplicate_window = 60_000 if twice else 0  # long enough for a slow machine
             first = BlockingClient(harness.address).send_request("r0")
             await until(lambda: executor.received, "the first attempt")
             await harness.finish(first, "r0")
             executor.respond = lambda line, headers: b""
             second = BlockingClient(harness.address).send_request("r1")
             await until(lambda: len(executor.received) == 2, "the second attempt")
-            connection = next(iter(harness.endpoint().connections))
-            assert len(executor.writers) == 1 and connection.expects_duplicate
-            attempt = harness.host.requests.pending[b"r1"].attempts[0]
+            assert len(executor.writers) == (2 if twice else 1)
+            executor.respond = lambda line, headers: ACCEPTED
             executor.writers[0].write(NEVER_RAN)
-            await until(
-                lambda: connection.held_response or attempt.is_ended or len(executor.received) > 2,
-                "the response",
-            )
             if twice:
-                executor.writers[0].write(ACCEPTED)
-                await until(
-                    lambda: attempt.is_accepted or attempt.is_ended, "the response to the second attempt"
-                )
+                await until(lambda: len(harness.endpoint().connections) == 1, "the connection's end")
+                executor.writers[1].write(ACCEPTED)
+                attempt = harness.host.requests.pending[b"r1"].attempts[0]
+                await until(lambda: attempt.is_acknowledged(), "the response to the second attempt")
                 assert not attempt.is_ended  # the running attempt is not taken for "never ran"
             else:
-                executor.respond = lambda line, headers: ACCEPTED
                 await until(lambda: len(executor.received) == 3, "the next attempt")
             await harness.finish(second)
         close_all(executor)
         return executor.received
 
     assert asyncio.run(scenario()) == [b"r0", b"r1", b"r1"][: 2 if twice else 3]
+
+
+@pytest.mark.parametrize(("duplicate", "own"), [(NEVER_RAN, ACCEPTED), (ACCEPTED, NEVER_RAN)])
+def test_response_that_takes_longer_than_a_duplicate_reaches_its_own_attempt(duplicate, own):
+    """A duplicate response comes early, and the next attempt's own response a long round trip later.
+
+    "Never ran" was believed after a fixed time, so a job that ran was sent again. A duplicate 202 was
+    believed at once, so the node waited for a rejected job, and the rejection went to the next message.
+    """
+
+    async def scenario():
+        executor = await ExecutorEmulator().start()
+        async with NodeHarness(executor.row()) as harness:
+            harness.pool.duplicate_window = 5_000  # long enough for a slow machine
+            first = BlockingClient(harness.address).send_request("r0")
+            await until(lambda: executor.received, "the first attempt")
+            await harness.finish(first, "r0")
+            executor.respond = lambda line, headers: b""
+            second = BlockingClient(harness.address).send_request("r1")
+            await until(lambda: b"r1" in executor.received, "the second attempt")
+            executor.writers[0].write(duplicate)
+            await asyncio.sleep(0.6)
+            executor.writers[-1].write(own)
+            if own == ACCEPTED:
+                await asyncio.sleep(0.1)
+                await harness.call_back("done")
+            answer = await second.response()
+            second.leave()
+        close_all(executor)
+        return executor.received, answer.split()[1]
+
+    # A rejected job comes back too late to be sent once more, and its client may safely repeat it.
+    assert asyncio.run(scenario()) == ([b"r0", b"r1"], b"200" if own == ACCEPTED else b"503")
+
+
+def test_connection_is_closed_after_a_rejection():
+    """An executor rejects an attempt, and the duplicate of that response comes long after.
+
+    Taken for the response to a later message it would prove of a running job that it never ran.
+    """
+    node = SocketlessNode()
+    node.send_request()
+    connection = node.connections[0]
+    node.forward()
+    receive(connection, NEVER_RAN)
+    node.run()
+    assert node.outcomes() == [Outcome.REJECTED]
+    assert connection.transport.closing and connection not in node.pool.endpoints["s-1"].idle
+
+
+@pytest.mark.parametrize(
+    ("method", "last_status", "is_used"),
+    [
+        (b"POST", 202, False),
+        (b"POST", 500, False),
+        (b"POST", 200, True),
+        (b"DELETE", 202, False),
+        (b"DELETE", 200, False),
+        (b"GET", 202, False),
+        (b"GET", 200, False),
+    ],
+)
+def test_message_waits_out_a_duplicate_that_it_could_get(method, last_status, is_used):
+    """A message follows a response of which a duplicate may still arrive.
+
+    A duplicate taken for a cancel's response ended the attempt while its job still ran; one taken for a
+    probe's or an attempt's response shifted all later responses of the connection.
+    """
+    node = SocketlessNode()
+    node.pool.duplicate_window = 200
+    endpoint = node.pool.endpoints["s-1"]
+    connection = node.connections[0]
+    earlier = b"GET" if last_status == 200 else b"POST"
+    connection.send_call(ExecutorCall(endpoint, b"", b"", lambda end: None, earlier == b"POST"))
+    endpoint.idle.clear()
+    receive(connection, b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % last_status)
+    assert endpoint.idle == [connection]
+    for now, expected in ((NOW + 199, is_used), (NOW + 200, True)):
+        node.batch.clock = partial(int, now)
+        call = endpoint.call(method, b"/", (), b"", lambda end: None)
+        assert (call.connection is connection) == expected, now - NOW
+        if call.connection:
+            break
+
+
+def test_connection_with_unread_bytes_is_not_used():
+    """A duplicate response reaches the kernel while the process is held up, before the next message.
+
+    By the clock the connection has been idle for long enough, but the duplicate is read after the message.
+    """
+    node = SocketlessNode()
+    connection = node.connections[0]
+    connection.transport.socket, executor = socket.socketpair()
+    executor.send(b"H")
+    node.act(Probe("s-1"))
+    assert not connection.transport.written
+    connection.transport.socket.recv(1)
+    node.act(Probe("s-1"))
+    assert connection.transport.written
+    executor.close()
+    connection.transport.socket.close()
+
+
+def test_duplicate_of_a_probes_response_is_not_taken_for_an_attempts():
+    """A probe's response comes a second time, after an attempt was sent on the connection.
+
+    An attempt's response never has that status, so the duplicate is dropped and the connection stays in step.
+    """
+    node = SocketlessNode()
+    node.pool.duplicate_window = 200
+    connection = node.connections[0]
+    ok = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+    node.batch.clock = partial(int, NOW + 200)
+    node.act(Probe("s-1"))
+    receive(connection, ok)
+    node.send_request()
+    node.forward()
+    attempt = node.host.requests.pending[b"r1"].attempts[0]
+    assert attempt.call.connection is connection
+    receive(connection, ok)
+    node.run()
+    assert not attempt.is_ended and not attempt.is_accepted
+    receive(connection, ACCEPTED)
+    node.run()
+    assert attempt.is_accepted and not connection.transport.closing
