Send no keyed retry after its repeat window, however long its connect takes

Cause: the window was compared with the time of the decision only. A connect, the end of the batch and a full kernel buffer come between the decision and the last byte, and an attempt counts when that has come.

Change: RetryEligibility.latest_send gives the time by which a retry must be sent, Forward carries it, and the executor's connection keeps it: after a connect, at the write, and by a timer for what the kernel has not taken. What is late ends as never sent, which proves that it never ran.

--- a/grebedyke/model/actions.py
+++ b/grebedyke/model/actions.py
@@ -15,11 +15,13 @@
         request_id: The request.
         endpoint_id: The endpoint to send it to.
         timeout: Ticks after which the host ends the attempt if it is still open.
+        latest_send: Time in ticks after which the host sends nothing of it any more; None without a limit.
     """
 
     request_id: object
     endpoint_id: object
     timeout: int
+    latest_send: int | None = None
 
 
 class Cancel(NamedTuple):
--- a/grebedyke/model/attempt.py
+++ b/grebedyke/model/attempt.py
@@ -8,7 +8,8 @@
         request: The request that was sent.
         index: Position among the attempts of the request, from 0.
         endpoint: The endpoint it was sent to.
-        sent_at: Time of the send.
+        sent_at: Time of the decision to send it.
+        latest_send: Time by which its last byte must be sent; None without a limit.
         started_at: Time at which it started to run, estimated if executors send no start notices; 0 if not
             known.
         last_report_at: Time at which the node using the slot last reported progress.
@@ -37,6 +38,7 @@
         "had_free_slot",
         "index",
         "last_report_at",
+        "latest_send",
         "never_ran",
         "opened_connection",
         "reported_wait",
@@ -47,11 +49,12 @@
         "started_at",
     )
 
-    def __init__(self, request, endpoint, sent_at, granting_node=None):
+    def __init__(self, request, endpoint, sent_at, granting_node=None, latest_send=None):
         self.request = request
         self.index = len(request.attempts)
         self.endpoint = endpoint
         self.sent_at = sent_at
+        self.latest_send = latest_send
         self.started_at = 0
         self.last_report_at = sent_at
         self.ended = False
--- a/grebedyke/policy/placement.py
+++ b/grebedyke/policy/placement.py
@@ -165,7 +165,8 @@
             context.retry_budget.retries.add(now)
             if context.quotas.request_limiter:
                 context.quotas.request_limiter.retry_started(now, request)
-        attempt = Attempt(request, endpoint, now, granting_node)
+        latest_send = self._dispatcher.eligibility.latest_send(request)
+        attempt = Attempt(request, endpoint, now, granting_node, latest_send)
         context.endpoints.sends.add(now)
         self._dispatcher.slot_leasing.searches.pop(request.slot_request_number, None)
         if not context.settings.capabilities.start_notices:
@@ -178,7 +179,8 @@
         if request.origin_node is not None:
             return self._dispatcher.slot_leasing.grant(attempt, now)
         margin = TIMEOUT_MARGIN_INTERVALS * self._context.settings.scheduling_interval
-        return Forward(request.id, attempt.endpoint.id, request.deadline - now - margin)
+        timeout = request.deadline - now - margin
+        return Forward(request.id, attempt.endpoint.id, timeout, attempt.latest_send)
 
     def _deny(self, request):
         """Notifies a peer once that its request has to wait here; `search_rounds` records it."""
--- a/grebedyke/policy/retry_eligibility.py
+++ b/grebedyke/policy/retry_eligibility.py
@@ -3,14 +3,15 @@
 Inputs: the operation's idempotency, idempotency group and window (ticks), the outcomes of earlier attempts
 and the bound on attempts. A job that provably never ran may always be retried, and so may an idempotent one.
 A job with an idempotency key may be retried only at executors of the same idempotency group, and only within
-the idempotency window.
+the idempotency window. A retry counts when its last byte is sent, and a connect or a full kernel buffer may
+delay that, so the end of the window goes with the retry to the host.
 """
 
 from grebedyke.model.outcome import Idempotency
 from grebedyke.model.refusal import RefusalReason
 
-# The window is treated as ending this number of scheduling intervals early, to allow for the time until the
-# retry arrives and for clock differences.
+# The window is treated as ending this number of scheduling intervals early, to allow for the time from the
+# write to the arrival and for clock differences.
 WINDOW_MARGIN_INTERVALS = 10
 
 
@@ -26,19 +27,23 @@
         if len(request.attempts) >= settings.limits.max_attempts:
             return False
         operation = request.operation
-        first = next((attempt for attempt in request.attempts if not attempt.never_ran), None)
+        first = _first_that_may_have_run(request)
         if first is None or operation.idempotency == Idempotency.IDEMPOTENT:
             return True
-        if operation.idempotency == Idempotency.NON_IDEMPOTENT:
-            return False
-        if (
-            now + WINDOW_MARGIN_INTERVALS * settings.scheduling_interval
-            > first.sent_at + operation.idempotency_window
-        ):
+        if operation.idempotency == Idempotency.NON_IDEMPOTENT or now > self.latest_send(request):
             return False
         group = operation.idempotency_group
         return group == "all" or getattr(endpoint, group) == getattr(first.endpoint, group)
 
+    def latest_send(self, request):
+        """Returns the time by which the next attempt must be sent, in ticks; None without a limit."""
+        first = _first_that_may_have_run(request)
+        operation = request.operation
+        if first is None or operation.idempotency != Idempotency.KEYED:
+            return None
+        margin = WINDOW_MARGIN_INTERVALS * self._context.settings.scheduling_interval
+        return first.sent_at + operation.idempotency_window - margin
+
     def refusal(self, request, now):
         """Returns the `RefusalReason` if no retry of the request is allowed, or None if one is.
 
@@ -53,3 +58,7 @@
         if any(self.is_allowed(request, endpoint, now) for endpoint in context.endpoints.healthy):
             return None
         return RefusalReason.NO_RETRY
+
+
+def _first_that_may_have_run(request):
+    return next((attempt for attempt in request.attempts if not attempt.never_ran), None)
--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -42,7 +42,7 @@
 
     # Sending.
 
-    def send(self, now, request_id, endpoint_id, timeout):
+    def send(self, now, request_id, endpoint_id, timeout, latest_send=None):
         """Starts an attempt.
 
         Args:
@@ -50,6 +50,7 @@
             request_id: Identifier of a pending request.
             endpoint_id: Name of the executor.
             timeout: Maximum duration of the attempt in ticks.
+            latest_send: Time in ticks after which nothing of it is sent; None without a limit.
         """
         request = self.requests.pending[request_id]
         endpoint = self.pool.endpoint(endpoint_id)
@@ -66,7 +67,7 @@
         line = request.line
         headers = self._headers(request, timeout)
         on_end = partial(self._on_call_end, attempt)
-        attempt.call = endpoint.call(line.method, line.target, headers, request.body, on_end)
+        attempt.call = endpoint.call(line.method, line.target, headers, request.body, on_end, latest_send)
         latest_end = request.answer_by - 2 * self.settings.scheduling_interval
         self.batch.call_at(min(now + timeout, latest_end), self.end_overdue, attempt)
         self.batch.call_at(now + self.settings.response_timeout, self.end_unacknowledged, attempt)
@@ -93,6 +94,8 @@
         attempt.expects_no_call_back = _was_not_accepted(call_end)
         if call_end.result is CallResult.UNSENT:
             self.end(now, attempt, Outcome.CONNECT_FAILED)
+        elif call_end.result is CallResult.EXPIRED:
+            self.end(now, attempt, Outcome.NEVER_SENT)
         elif call_end.result is CallResult.BROKEN:
             self.end(now, attempt, Outcome.CONNECTION_RESET)
         elif call_end.status == ACCEPTED_STATUS:
@@ -214,4 +217,4 @@
     """Returns whether the executor did not accept the job, so that it will send no call-back for it."""
     if call_end.result is CallResult.ANSWERED:
         return call_end.status != ACCEPTED_STATUS
-    return call_end.result is CallResult.UNSENT
+    return call_end.result is not CallResult.BROKEN
--- a/grebedyke/wire/executor_connection.py
+++ b/grebedyke/wire/executor_connection.py
@@ -23,11 +23,13 @@
     Attributes:
         ANSWERED: A response was received.
         UNSENT: The kernel never accepted the last byte, so the executor cannot have the entire message.
+        EXPIRED: As UNSENT, because the latest send of the message passed.
         BROKEN: The connection was closed without a response; the message may have arrived.
     """
 
     ANSWERED = "answered"
     UNSENT = "unsent"
+    EXPIRED = "expired"
     BROKEN = "broken"
 
 
@@ -61,6 +63,7 @@
         body: Body of the message, None after the call has ended.
         on_end: Called with the `CallEnd`.
         is_attempt: Whether the message is an attempt rather than a probe or a cancel.
+        latest_send: Time in ticks after which nothing of the message is sent; None without a limit.
         incarnation: The endpoint's incarnation at the time of the call.
         started_at: Start time of the call, in ticks.
         needed_connect: Whether a new connection was opened for the call.
@@ -75,6 +78,7 @@
         "body",
         "on_end",
         "is_attempt",
+        "latest_send",
         "incarnation",
         "started_at",
         "needed_connect",
@@ -83,12 +87,13 @@
         "ended",
     )
 
-    def __init__(self, endpoint, head, body, on_end, is_attempt):
+    def __init__(self, endpoint, head, body, on_end, is_attempt, latest_send=None):
         self.endpoint = endpoint
         self.head = head
         self.body = body
         self.on_end = on_end
         self.is_attempt = is_attempt
+        self.latest_send = latest_send
         self.incarnation = endpoint.incarnation()
         self.started_at = endpoint.pool.batch.clock()
         self.needed_connect = False
@@ -117,6 +122,16 @@
             return
         self.ended = True
         self.body = None
+        self._stop_sending()
+
+    def expire(self, now):
+        """Ends the call if its latest send has passed before the kernel accepted the entire message."""
+        if self.ended or self.latest_send is None or now <= self.latest_send or self.is_sent():
+            return
+        self.end(CallResult.EXPIRED)
+        self._stop_sending()
+
+    def _stop_sending(self):
         if self.connect_task:
             self.connect_task.cancel()
         if self.connection:
@@ -171,6 +186,12 @@
         self.idle_time = self.endpoint.pool.batch.clock() - self.idle_since
         self.send(call.head, call.body)
 
+    def flush(self):
+        """Writes queued data, unless the latest send of its message has passed."""
+        if self.call:
+            self.call.expire(self.endpoint.pool.batch.clock())
+        super().flush()
+
     def has_unsent_bytes(self):
         """Returns whether bytes of the message are still in this process, queued or in the transport."""
         return bool(self.out.used or self.body or not self.fully_written)
--- a/grebedyke/wire/executor_pool.py
+++ b/grebedyke/wire/executor_pool.py
@@ -92,7 +92,7 @@
 
     # Calls.
 
-    def call(self, method, target, headers, body, on_end):
+    def call(self, method, target, headers, body, on_end, latest_send=None):
         """Sends a message, at the end of this batch on an idle connection or after a connect on a new one.
 
         Args:
@@ -101,13 +101,16 @@
             headers: Pairs of name and value as bytes.
             body: Body as bytes.
             on_end: Called once with the `CallEnd`.
+            latest_send: Time in ticks after which nothing of the message is sent; None without a limit.
 
         Returns:
             The `ExecutorCall`.
         """
         is_attempt = method == b"POST"
         head = request_head(method, target, self.host, headers, len(body) if is_attempt else None)
-        call = ExecutorCall(self, head, body, on_end, is_attempt)
+        call = ExecutorCall(self, head, body, on_end, is_attempt, latest_send)
+        if latest_send is not None:
+            self.pool.batch.call_at(latest_send + 1, call.expire)
         connection = self._take_idle_connection(call.started_at, is_attempt)
         if connection:
             connection.send_call(call)
@@ -162,10 +165,12 @@
         self._connected(call, connection)
 
     def _connected(self, call, connection):
-        """Sends the call on its new connection, unless the endpoint list has changed in the meantime.
+        """Sends the call on its new connection, unless it must not be sent any more.
 
-        The list may now have another address or incarnation, or may list the executor as draining or gone.
+        Its latest send may have passed. The list may now have another address or incarnation, or may list the
+        executor as draining or gone.
         """
+        call.expire(self.pool.batch.clock())
         is_usable = (
             connection and call.incarnation == self.incarnation() and not connection.transport.is_closing()
         )
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -85,7 +85,7 @@
     listed = [EndpointRow(f"s-{i}", "a", "m", 0, "healthy", 0, 1) for i in range(3)]
     dispatcher.handle(10, EndpointsChanged(True, listed))
     dispatcher.handle(100, RequestArrived(b"r1", "op", None, 80_100, 0, 1))
-    ((id, first, _),) = take_actions(dispatcher, 100, Forward)
+    ((id, first, *_),) = take_actions(dispatcher, 100, Forward)
     adopt_settings(200, dispatcher, configuration.open_dispatcher("1", after))
     over = 80_100 - 3 * 200
     dispatcher.handle(over, AttemptEnded(id, 0, Outcome.TIMEOUT, False))
