Tell an executor the time that is left when its message is sent

Cause: the head of the message was made when the attempt was decided, as the window of a retry was checked only then.

Change: ExecutorMessage, a typed message in place of five arguments, knows until when the node waits, and makes its head when its connection is there. The order of two headers changes.

Test: on the commit before, 900 ms are told where 700 are left (test_executor_is_told_the_time_that_is_left_when_the_connection_is_up).

--- a/grebedyke/service/attempt_cancellation.py
+++ b/grebedyke/service/attempt_cancellation.py
@@ -1,6 +1,6 @@
 """Cancels an attempt at its executor."""
 
-from grebedyke.wire.executor_connection import CallResult
+from grebedyke.wire.executor_connection import CallResult, ExecutorMessage
 
 
 class AttemptCancellation:
@@ -28,8 +28,8 @@
         """Starts the cancel; it is sent at the end of this batch."""
         attempt = self.attempt
         if attempt.is_accepted or attempt.call.ended:
-            target = b"/jobs/" + attempt.request.id
-            self.call = attempt.endpoint.call(b"DELETE", target, (), b"", self._on_call_end)
+            message = ExecutorMessage(b"DELETE", b"/jobs/" + attempt.request.id)
+            self.call = attempt.endpoint.call(message, self._on_call_end)
             self.attempts.batch.call_later(self.attempts.settings.response_timeout, self._on_timeout)
         else:
             attempt.call.abandon()
--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -7,8 +7,7 @@
 from grebedyke.model.outcome import Outcome
 from grebedyke.service.attempt_cancellation import AttemptCancellation
 from grebedyke.service.metrics import FAILURE_COUNTS
-from grebedyke.units import TICKS_PER_MILLISECOND
-from grebedyke.wire.executor_connection import ACCEPTED_STATUS, CallResult, is_rejection
+from grebedyke.wire.executor_connection import ACCEPTED_STATUS, CallResult, ExecutorMessage, is_rejection
 from grebedyke.wire.load_reports import report_from_text
 
 
@@ -64,21 +63,12 @@
         self.metrics.count("forwards")
         if attempt.index:
             self.metrics.count("again")
-        line = request.line
-        headers = self._headers(request, timeout)
-        on_end = partial(self._on_call_end, attempt)
-        attempt.call = endpoint.call(line.method, line.target, headers, request.body, on_end, latest_send)
+        message = _attempt_message(request, now + timeout, latest_send)
+        attempt.call = endpoint.call(message, partial(self._on_call_end, attempt))
         latest_end = request.answer_by - 2 * self.settings.scheduling_interval
         self.batch.call_at(min(now + timeout, latest_end), self.end_overdue, attempt)
         self.batch.call_at(now + self.settings.response_timeout, self.end_unacknowledged, attempt)
 
-    def _headers(self, request, timeout):
-        milliseconds = max(timeout // TICKS_PER_MILLISECOND, 1)
-        headers = [(b"X-Request-ID", request.id), (b"X-Timeout-Ms", b"%d" % milliseconds)]
-        if request.line.idempotency_key is not None:
-            headers.append((b"Idempotency-Key", request.line.idempotency_key))
-        return headers
-
     def _end_never_sent(self, now, attempt):
         self.end(now, attempt, Outcome.NEVER_SENT)
 
@@ -213,6 +203,14 @@
         self.begin_cancellation(attempt, outcome)
 
 
+def _attempt_message(request, timeout_at, latest_send):
+    line = request.line
+    headers = [(b"X-Request-ID", request.id)]
+    if line.idempotency_key is not None:
+        headers.append((b"Idempotency-Key", line.idempotency_key))
+    return ExecutorMessage(line.method, line.target, tuple(headers), request.body, timeout_at, latest_send)
+
+
 def _was_not_accepted(call_end):
     """Returns whether the executor did not accept the job, so that it will send no call-back for it."""
     if call_end.result is CallResult.ANSWERED:
--- a/grebedyke/service/health_probes.py
+++ b/grebedyke/service/health_probes.py
@@ -2,7 +2,7 @@
 
 from grebedyke.model.events import ProbeEnded
 from grebedyke.model.outcome import Outcome
-from grebedyke.wire.executor_connection import CallResult
+from grebedyke.wire.executor_connection import CallResult, ExecutorMessage
 from grebedyke.wire.load_reports import report_from_text
 
 OUTCOMES_BY_STATUS = {200: Outcome.SUCCEEDED, 503: Outcome.REJECTED}
@@ -54,7 +54,8 @@
         """Sends the probe and sets its timeout."""
         probes = self.probes
         endpoint = probes.pool.endpoint(self.endpoint_id)
-        self.call = endpoint.call(b"GET", probes.settings.probe_path, (), b"", self._on_call_end)
+        message = ExecutorMessage(b"GET", probes.settings.probe_path)
+        self.call = endpoint.call(message, self._on_call_end)
         probes.batch.call_at(now + probes.settings.response_timeout, self._on_timeout)
 
     def _on_call_end(self, call_end):
--- a/grebedyke/wire/executor_connection.py
+++ b/grebedyke/wire/executor_connection.py
@@ -8,7 +8,9 @@
 from loguru import logger
 
 from grebedyke.errors import HttpProtocolError
+from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.connection import Connection
+from grebedyke.wire.http_messages import request_head
 
 # The status of a probe's or a cancel's response, which an attempt's response never has.
 OK_STATUS = 200
@@ -54,16 +56,49 @@
     return response.status in REJECTION_STATUSES and response.headers.get(b"x-not-processed") == b"1"
 
 
+class ExecutorMessage(NamedTuple):
+    """A request message to an executor.
+
+    Attributes:
+        method: HTTP method; a POST is an attempt.
+        target: Request target.
+        headers: Pairs of name and value.
+        body: The body.
+        timeout_at: Time in ticks at which the node stops waiting for the job. The executor is told the time
+            that is left when the message is sent. None for a message that is not an attempt.
+        latest_send: Time in ticks after which nothing of the message is sent; None without a limit.
+    """
+
+    method: bytes
+    target: bytes
+    headers: tuple = ()
+    body: bytes = b""
+    timeout_at: int | None = None
+    latest_send: int | None = None
+
+    def is_attempt(self):
+        """Returns whether the message is an attempt rather than a probe or a cancel."""
+        return self.method == b"POST"
+
+    def head(self, host, now):
+        """Returns the request line and the headers as they are sent at the time `now`."""
+        headers = [*self.headers]
+        if self.timeout_at is not None:
+            milliseconds = max((self.timeout_at - now) // TICKS_PER_MILLISECOND, 1)
+            headers.append((b"X-Timeout-Ms", b"%d" % milliseconds))
+        length = len(self.body) if self.is_attempt() else None
+        return request_head(self.method, self.target, host, headers, length)
+
+
 class ExecutorCall:
     """One request message to an executor; its end is reported exactly once.
 
     Attributes:
         endpoint: The `ExecutorEndpoint`.
-        head: Request line and headers of the message.
-        body: Body of the message, None after the call has ended.
+        message: The `ExecutorMessage`, None after the call has ended.
         on_end: Called with the `CallEnd`.
         is_attempt: Whether the message is an attempt rather than a probe or a cancel.
-        latest_send: Time in ticks after which nothing of the message is sent; None without a limit.
+        latest_send: As in `ExecutorMessage`.
         incarnation: The endpoint's incarnation at the time of the call.
         started_at: Start time of the call, in ticks.
         needed_connect: Whether a new connection was opened for the call.
@@ -74,8 +109,7 @@
 
     __slots__ = (
         "endpoint",
-        "head",
-        "body",
+        "message",
         "on_end",
         "is_attempt",
         "latest_send",
@@ -87,13 +121,12 @@
         "ended",
     )
 
-    def __init__(self, endpoint, head, body, on_end, is_attempt, latest_send=None):
+    def __init__(self, endpoint, message, on_end):
         self.endpoint = endpoint
-        self.head = head
-        self.body = body
+        self.message = message
         self.on_end = on_end
-        self.is_attempt = is_attempt
-        self.latest_send = latest_send
+        self.is_attempt = message.is_attempt()
+        self.latest_send = message.latest_send
         self.incarnation = endpoint.incarnation()
         self.started_at = endpoint.pool.batch.clock()
         self.needed_connect = False
@@ -106,7 +139,7 @@
         if self.ended:
             return
         self.ended = True
-        self.body = None
+        self.message = None
         if response is None:
             self.on_end(CallEnd(result, 0, {}, b""))
         else:
@@ -121,7 +154,7 @@
         if self.ended:
             return
         self.ended = True
-        self.body = None
+        self.message = None
         self._stop_sending()
 
     def expire(self, now):
@@ -183,8 +216,9 @@
         """Sends the message of a call at the end of this batch."""
         self.call = call
         call.connection = self
-        self.idle_time = self.endpoint.pool.batch.clock() - self.idle_since
-        self.send(call.head, call.body)
+        now = self.endpoint.pool.batch.clock()
+        self.idle_time = now - self.idle_since
+        self.send(call.message.head(self.endpoint.host, now), call.message.body)
 
     def flush(self):
         """Writes queued data, unless the latest send of its message has passed."""
--- a/grebedyke/wire/executor_pool.py
+++ b/grebedyke/wire/executor_pool.py
@@ -7,7 +7,6 @@
 from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.endpoint_rows import GONE, HEALTHY
 from grebedyke.wire.executor_connection import CallResult, ExecutorCall, ExecutorConnection
-from grebedyke.wire.http_messages import request_head
 
 # Ticks after a response of an executor within which its duplicate arrives, if there is one.
 DUPLICATE_WINDOW = 20 * TICKS_PER_MILLISECOND
@@ -92,26 +91,20 @@
 
     # Calls.
 
-    def call(self, method, target, headers, body, on_end, latest_send=None):
+    def call(self, message, on_end):
         """Sends a message, at the end of this batch on an idle connection or after a connect on a new one.
 
         Args:
-            method: HTTP method as bytes; a POST is an attempt.
-            target: Request target as bytes.
-            headers: Pairs of name and value as bytes.
-            body: Body as bytes.
+            message: The `ExecutorMessage`.
             on_end: Called once with the `CallEnd`.
-            latest_send: Time in ticks after which nothing of the message is sent; None without a limit.
 
         Returns:
             The `ExecutorCall`.
         """
-        is_attempt = method == b"POST"
-        head = request_head(method, target, self.host, headers, len(body) if is_attempt else None)
-        call = ExecutorCall(self, head, body, on_end, is_attempt, latest_send)
-        if latest_send is not None:
-            self.pool.batch.call_at(latest_send + 1, call.expire)
-        connection = self._take_idle_connection(call.started_at, is_attempt)
+        call = ExecutorCall(self, message, on_end)
+        if message.latest_send is not None:
+            self.pool.batch.call_at(message.latest_send + 1, call.expire)
+        connection = self._take_idle_connection(call.started_at, call.is_attempt)
         if connection:
             connection.send_call(call)
         elif self.address and self.pool.ensure_capacity():
--- a/tests/departure_scene.py
+++ b/tests/departure_scene.py
@@ -137,7 +137,7 @@
         def record_and_flush(connection):
             call = connection.call
             if connection.out.used and call and call.is_attempt:
-                request_id = call.head.partition(b"X-Request-ID: ")[2].split()[0]
+                request_id = dict(call.message.headers)[b"X-Request-ID"]
                 self.written.append((request_id, time.monotonic()))
             flush(connection)
 
--- a/tests/test_executor_connections.py
+++ b/tests/test_executor_connections.py
@@ -12,8 +12,9 @@
 from grebedyke.model.actions import Probe
 from grebedyke.model.outcome import Outcome
 from grebedyke.wire.endpoint_rows import ListedEndpoint
-from grebedyke.wire.executor_connection import CallResult, ExecutorCall
+from grebedyke.wire.executor_connection import CallResult, ExecutorCall, ExecutorMessage
 
+PROBE = ExecutorMessage(b"GET", b"/alive")
 NEVER_RAN = b"HTTP/1.1 503 x\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -131,7 +132,7 @@
         endpoint.is_listed = True
         endpoint.set_incarnation(address, 0)
         for _ in range(6):
-            endpoint.call(b"GET", b"/alive", (), b"", lambda end: None)
+            endpoint.call(PROBE, lambda end: None)
         await until(lambda: len(endpoint.idle) == 6, "six idle connections")
 
     async def scenario():
@@ -145,7 +146,7 @@
                 await open_six_idle(pool, ("127.0.0.1", port_of(other.address)))
             results = []
             for _ in range(20):
-                pool.endpoint("s-1").call(b"GET", b"/alive", (), b"", lambda end: results.append(end.result))
+                pool.endpoint("s-1").call(PROBE, lambda end: results.append(end.result))
                 used.append(len(pool.connections) + pool.connecting)
             await until(lambda: len(results) == 14, "the calls above the limit")
             await until(lambda: harness.gate.waiting == 6, "the connects")
@@ -331,13 +332,14 @@
     endpoint = node.pool.endpoints["s-1"]
     connection = node.connections[0]
     earlier = b"GET" if last_status == 200 else b"POST"
-    connection.send_call(ExecutorCall(endpoint, b"", b"", lambda end: None, earlier == b"POST"))
+    connection.send_call(ExecutorCall(endpoint, ExecutorMessage(earlier, b"/"), lambda end: None))
+    node.run()
     endpoint.idle.clear()
     receive(connection, b"HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n" % last_status)
     assert endpoint.idle == [connection]
     for now, expected in ((NOW + 199, is_used), (NOW + 200, True)):
         node.batch.clock = partial(int, now)
-        call = endpoint.call(method, b"/", (), b"", lambda end: None)
+        call = endpoint.call(ExecutorMessage(method, b"/"), lambda end: None)
         assert (call.connection is connection) == expected, now - NOW
         if call.connection:
             break
--- a/tests/test_executor_pool.py
+++ b/tests/test_executor_pool.py
@@ -4,7 +4,7 @@
 
 from grebedyke.model.actions import Forward, Probe
 from grebedyke.model.outcome import Outcome
-from grebedyke.wire.executor_connection import ExecutorConnection
+from grebedyke.wire.executor_connection import ExecutorConnection, ExecutorMessage
 from grebedyke.wire.executor_pool import EndpointAddress
 
 
@@ -13,7 +13,7 @@
     node = SocketlessNode(max_executor_connections=2)
     node.send_request()
     node.pool.endpoints["s-1"].idle.clear()  # no third connection
-    probe = node.pool.endpoints["s-2"].call(b"GET", b"/alive", (), b"", lambda end: None)
+    probe = node.pool.endpoints["s-2"].call(ExecutorMessage(b"GET", b"/alive"), lambda end: None)
     node.connections[1].send_call(probe)
     node.host.perform(NOW, Forward(b"r1", "s-1", 9_000))
     assert not node.outcomes()
--- a/tests/test_latest_send.py
+++ b/tests/test_latest_send.py
@@ -7,12 +7,13 @@
 from emulators import BlockingClient, ExecutorEmulator, port_of, until
 from helpers import dispatcher, rows, take_actions
 from node_harness import OPERATION, NodeHarness
-from socketless_node import NOW, SocketlessNode
+from socketless_node import NOW, SocketlessNode, connect
 
 from grebedyke.model.actions import Forward
 from grebedyke.model.outcome import Idempotency, Outcome
 from grebedyke.units import TICKS_PER_SECOND
 from grebedyke.wire.endpoint_rows import ListedEndpoint
+from grebedyke.wire.executor_connection import ExecutorConnection
 
 LATEST_SEND = NOW + 100
 KEYED_OPERATION = {**OPERATION, "idempotency": "keyed", "group": "zone", "windowMs": 1500}
@@ -106,3 +107,22 @@
     node.batch.run_batch()
     connection = node.connections[0]
     assert connection.transport.written and not connection.transport.closing and not node.outcomes()
+
+
+@pytest.mark.parametrize("delay", (0, 2_000))
+def test_executor_is_told_the_time_that_is_left_when_the_connection_is_up(delay):
+    """An attempt waits for its connection, and the executor is told how long the node will wait for the job.
+
+    The time was worked out at the decision, so that the executor was told up to a connect's time too much.
+    """
+    node = SocketlessNode()
+    node.send_request()
+    endpoint = node.pool.endpoints["s-1"]
+    endpoint.idle.clear()
+    node.act(Forward(b"r1", "s-1", 9_000))
+    call = node.host.requests.pending[b"r1"].attempts[0].call
+    node.batch.clock = partial(int, NOW + delay)
+    connection = connect(ExecutorConnection(endpoint))
+    connection.send_call(call)
+    node.run()
+    assert b"X-Timeout-Ms: %d\r\n" % ((9_000 - delay) // 10) in connection.transport.written
