Keep the retry budget for retries that wait for their connections

Cause: a retry was counted when it was decided and counts for the rule when it is sent, up to a connect's time later. A burst that was delayed came into the window of the next one, which was decided after the first had left the count. The count allows for one bucket, a forty-eighth of the window.

Change: RetryBudget.latest_send gives a retry one bucket to be sent. RetryEligibility.latest_send takes the earlier of this and the end of the repeat window; the host keeps it as before. Without a budget nothing changes.

--- a/grebedyke/policy/placement.py
+++ b/grebedyke/policy/placement.py
@@ -161,11 +161,11 @@
     def _begin_attempt(self, request, endpoint, now, granting_node):
         """Creates the attempt and counts it for the retry budget, limits and slow start."""
         context = self._context
+        latest_send = self._dispatcher.eligibility.latest_send(request, now)
         if request.attempts and request.origin_node is None:
             context.retry_budget.retries.add(now)
             if context.quotas.request_limiter:
                 context.quotas.request_limiter.retry_started(now, request)
-        latest_send = self._dispatcher.eligibility.latest_send(request)
         attempt = Attempt(request, endpoint, now, granting_node, latest_send)
         context.endpoints.sends.add(now)
         self._dispatcher.slot_leasing.searches.pop(request.slot_request_number, None)
--- a/grebedyke/policy/retry_budget.py
+++ b/grebedyke/policy/retry_budget.py
@@ -2,12 +2,14 @@
 
 In any window a node sends at most `floor + ratio x requests` retries, where `requests` is the number of
 requests it accepted in the same window. Inputs are the three settings and the times (ticks) of requests and
-retries; the caller checks `available` right before each retry and sends it only if at least one is left.
+retries; the caller checks `available` right before each retry and sends it only if at least one is left, and
+not after its `latest_send`.
 docs/design.md shows that no sequence of inputs exceeds the budget.
 
 Counts are kept in buckets of a forty-eighth of the window. At the edge of the window both counts err towards
 fewer retries: requests are counted in one bucket less than the window has, including the current bucket,
-retries in two buckets more. The budget therefore also holds for an observer whose clock differs by a bucket.
+retries in two buckets more. The budget therefore also holds for an observer to whom a retry counts up to a
+bucket later, as it waited for its connection, or whose clock differs by a bucket.
 """
 
 from math import inf
@@ -69,6 +71,13 @@
         sent = self.retries.total(now, COUNTED_RETRY_BUCKETS)
         return Allowance(total - sent if now >= self.blocked_until else 0, total)
 
+    def latest_send(self, now):
+        """Returns the time in ticks by which a retry that is counted now must be sent; None without a budget.
+
+        A retry that is sent later would be in a window for which it is not counted.
+        """
+        return now + self.retries.bucket_length if self.window else None
+
     def adopt_settings(self, fresh, now):
         """Adopts the settings of a newly built budget and keeps all counts."""
         if self.window != fresh.window:
--- a/grebedyke/policy/retry_eligibility.py
+++ b/grebedyke/policy/retry_eligibility.py
@@ -4,7 +4,7 @@
 and the bound on attempts. A job that provably never ran may always be retried, and so may an idempotent one.
 A job with an idempotency key may be retried only at executors of the same idempotency group, and only within
 the idempotency window. A retry counts when its last byte is sent, and a connect or a full kernel buffer may
-delay that, so the end of the window goes with the retry to the host.
+delay that, so the end of the window goes with the retry to the host, as does the retry budget's limit.
 """
 
 from grebedyke.model.outcome import Idempotency
@@ -30,13 +30,20 @@
         first = _first_that_may_have_run(request)
         if first is None or operation.idempotency == Idempotency.IDEMPOTENT:
             return True
-        if operation.idempotency == Idempotency.NON_IDEMPOTENT or now > self.latest_send(request):
+        if operation.idempotency == Idempotency.NON_IDEMPOTENT or now > self._window_end(request):
             return False
         group = operation.idempotency_group
         return group == "all" or getattr(endpoint, group) == getattr(first.endpoint, group)
 
-    def latest_send(self, request):
+    def latest_send(self, request, now):
         """Returns the time by which the next attempt must be sent, in ticks; None without a limit."""
+        limits = [self._window_end(request)]
+        if request.attempts and request.origin_node is None:
+            limits.append(self._context.retry_budget.latest_send(now))
+        return min((limit for limit in limits if limit is not None), default=None)
+
+    def _window_end(self, request):
+        """Returns the time after which executors may have forgotten the key; None if a repeat is harmless."""
         first = _first_that_may_have_run(request)
         operation = request.operation
         if first is None or operation.idempotency != Idempotency.KEYED:
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -18,6 +18,7 @@
 from grebedyke.service import configuration, node
 from grebedyke.service.assembly import assemble
 from grebedyke.service.reload import adopt_settings
+from grebedyke.units import TICKS_PER_SECOND
 
 WINDOW = 50_000  # ticks
 
@@ -205,6 +206,46 @@
     assert retries > 5_000  # otherwise the test would check nothing
 
 
+def test_retries_that_wait_for_their_connections_stay_within_the_budget():
+    """Retries wait up to a second for their connections, and count when they are sent.
+
+    A burst that was delayed came into the window of the next burst, which was decided after the first had
+    left the budget's window.
+    """
+    settings = BudgetSettings(3, 0.2, WINDOW)
+    expired = 0
+    for seed in range(300):
+        chance = random.Random(seed)
+        budget = RetryBudget(*settings)
+        requests = []
+        retries = []
+        now = 10
+        for _ in range(200):
+            now += chance.choice((0, 50, 400, 3_000, 20_000))
+            if chance.random() < 0.4:
+                requests.append(now)
+                budget.requests.add(now)
+            elif budget.available(now).left >= 1:
+                budget.retries.add(now)
+                sent_at = now + chance.choice((0, 200, 1_000, 5_000, TICKS_PER_SECOND))
+                is_late = sent_at > budget.latest_send(now)
+                expired += is_late
+                retries += [] if is_late else [sent_at]
+        for sent_at in retries:
+            assert_within_budget(sent_at, settings, requests, retries)
+    assert expired and RetryBudget(0, 0, 0).latest_send(now) is None
+
+
+def test_a_retry_under_a_budget_has_a_latest_send():
+    d = dispatcher(budget=BudgetSettings(2, 0, WINDOW))
+    d.endpoints_changed(10, True, rows(1, 2))
+    d.request_arrived(10, 5, "op", None, 50_000, 1_000, 1)
+    first = take_actions(d, 10, Forward)
+    d.attempt_ended(20, 5, 0, Outcome.REJECTED, False)
+    second = take_actions(d, 20, Forward)
+    assert [action.latest_send for action in first + second] == [None, 20 + WINDOW // 48]
+
+
 def test_a_process_without_its_budget_or_its_successor_waits_a_window():
     """Two processes of a node count as one for the rule, so a process without its budget sends no retries.
 
