--- a/tests/test_concurrency_credit.py
+++ b/tests/test_concurrency_credit.py
@@ -80,7 +80,7 @@
     node.endpoints_changed(10, True, rows(1, 2))
     for now, free, credit in ((1_000, 3.9, 4), (2_000, 0.2, 4), (3_000, None, 4)):
         node.request_arrived(now, now, "op", None, now + 50_000, 1_000, 1)
-        ((id, endpoint, _),) = take_actions(node, now, Forward)
+        ((id, endpoint, *_),) = take_actions(node, now, Forward)
         node.attempt_ended(now + 500, id, 0, Outcome.SUCCEEDED, True, free)
         assert node.endpoints.by_id[endpoint].credit == credit or free is None
     node.endpoints_changed(4_000, True, rows(1))
@@ -88,7 +88,7 @@
     for free, credit in ((1.0, 6.0), (0.0, 4.0)):
         for now in range(5_000, 605_000, 10_000):
             node.request_arrived(now, now, "op", None, now + 50_000, 1_000, 1)
-            ((id, endpoint, _),) = take_actions(node, now, Forward)
+            ((id, endpoint, *_),) = take_actions(node, now, Forward)
             node.endpoints.by_id[endpoint].slots_in_use = 20
             node.attempt_ended(now + 500, id, 0, Outcome.SUCCEEDED, True, free)
             node.endpoints.by_id[endpoint].slots_in_use = 0
--- a/tests/test_cutoffs.py
+++ b/tests/test_cutoffs.py
@@ -22,7 +22,7 @@
     for i in range(40):
         node.request_arrived(10, i, "op", None, 90_000, 1_000, 1)
     sent = take_actions(node, 10, Forward)
-    for id, _, _ in sent[:20]:
+    for id, *_ in sent[:20]:
         node.attempt_started(20, id, 0)
     assert 0 < len(take_actions(node, 700, Cancel)) <= 4
 
--- a/tests/test_endpoint_health.py
+++ b/tests/test_endpoint_health.py
@@ -75,7 +75,7 @@
     node.endpoints_changed(10, True, rows(1))
     for i in range(100):
         node.request_arrived(10 + 200 * i, i, "op", None, 90_000, 1_000, 1)
-        for id, _, _ in take_actions(node, 10 + 200 * i, Forward):
+        for id, *_ in take_actions(node, 10 + 200 * i, Forward):
             sent += 1
             node.attempt_started(20 + 200 * i, id, 0)
             node.attempt_ended(30 + 200 * i, id, 0, Outcome.FAILED, False)
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -56,7 +56,7 @@
                 node.request_arrived(now, i, "op", None, now + 50_000, 1_000, 1)
                 for (id,) in take_actions(node, now, Probe):
                     node.probe_answered(now, id, "ok", 4, 1)
-                for request_id, id, _ in take_actions(node, now, Forward):
+                for request_id, id, *_ in take_actions(node, now, Forward):
                     if id in warming:
                         sent[id, now // 10_000] = sent.get((id, now // 10_000), 0) + 1
                     node.attempt_started(now, request_id, 0)
