Load tool: send no request on a connection that the node has closed

Cause: a client saw a close only after its own event loop had read it. Beside load a pass of that loop takes 70 to 160 ms. In this time the client took a connection for open that its node had closed, and wrote its request on it.

The connections have a module of their own, connection_pool.py; "kept" and "new" in a violation now say which connection the request was sent on.

--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -8,13 +8,11 @@
 
 from grebedyke.emulators import http_messages
 from grebedyke.errors import MalformedMessageError
+from grebedyke.load.connection_pool import ConnectionPool
 from grebedyke.load.ledger import Answer, Ledger
 from grebedyke.load.loop_watch import StallDetector
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
-MAX_IDLE_CONNECTIONS = 64
-"""Maximum number of idle connections kept open to one node."""
-
 LATE_ANSWER_WAIT = 0.5
 """Seconds after its timeout for which a client keeps waiting, to tell a late answer from a missing one."""
 
@@ -53,7 +51,7 @@
         self._random = random.Random(seed)
         self._loop = asyncio.get_running_loop()
         self._stall_detector = StallDetector(self._loop)
-        self._idle = {name: [] for name in self.nodes}  # (reader, writer) of each idle connection
+        self._connections = {name: ConnectionPool(address) for name, address in self.nodes.items()}
         self._request_count = 0
 
     async def play(self, arrivals):
@@ -73,9 +71,8 @@
         if tasks:
             await asyncio.wait(tasks)
         stall_detection.cancel()
-        for connections in self._idle.values():
-            for _, writer in connections:
-                writer.close()
+        for connections in self._connections.values():
+            connections.close()
 
     async def _send_with_retries(self, arrival, intended):
         self._request_count += 1
@@ -104,31 +101,31 @@
         timeout = arrival.operation.timeout + LATE_ANSWER_WAIT
         if arrival.leaves_after is not None:
             timeout = arrival.leaves_after
-        is_reused = bool(self._idle[name])
-        reader = writer = None
+        connection = None
         try:
-            reader, writer = await self._connect(name)
-            writer.write(_format_request(arrival, entry, is_retry))
+            connection = await self._connections[name].acquire()
+            connection.writer.write(_format_request(arrival, entry, is_retry))
             entry.sent = self._loop.time()
-            message = await self._read_answer(reader, timeout, entry.sent)
+            message = await self._read_answer(connection.reader, timeout, entry.sent)
         except TimeoutError:
             entry.client_left = arrival.leaves_after is not None
-            entry.failure = self._describe_failure(entry, f"no answer in {timeout:g} s", is_reused)
-            writer.transport.abort()
+            self._record_failure(entry, f"no answer in {timeout:g} s", connection)
+            if connection:
+                connection.writer.transport.abort()
             return None
         except (OSError, MalformedMessageError, EOFError) as problem:
             # The connection failed before anything was sent: no node has received the request.
             entry.refused = entry.sent is None
-            entry.failure = self._describe_failure(entry, repr(problem), is_reused)
-            if writer:
-                writer.close()
+            self._record_failure(entry, repr(problem), connection)
+            if connection:
+                connection.writer.close()
             return None
         if message is None:
-            entry.failure = self._describe_failure(entry, "the node closed the connection", is_reused)
-            writer.close()
+            self._record_failure(entry, "the node closed the connection", connection)
+            connection.writer.close()
             return None
-        self._record_answer(entry, message, reader)
-        self._keep_or_close(name, message, reader, writer)
+        self._record_answer(entry, message, connection.reader)
+        self._keep_or_close(name, message, connection)
         return float(message.headers.get("retry-after", NO_RETRY_AFTER)) if entry.throttled else None
 
     async def _read_answer(self, reader, timeout, sent):
@@ -151,17 +148,17 @@
         finally:
             reading.cancel()
 
-    def _describe_failure(self, entry, reason, is_reused):
-        """Describes why a request has no answer, for the description of a violation."""
-        if entry.sent is None:
-            return reason
-        connection = "kept" if is_reused else "new"
-        stall = self._stall_detector.longest_stall(entry.sent)
-        after = self._loop.time() - entry.sent
-        return (
-            f"{reason}, {after:.3f} s after it was sent on a {connection} connection; "
-            f"its client stood still for up to {stall:.3f} s"
-        )
+    def _record_failure(self, entry, reason, connection):
+        """Records why a request has no answer, for the description of a violation."""
+        now = self._loop.time()
+        entry.failure = reason
+        if entry.sent is not None:
+            kind = "kept" if connection.is_reused else "new"
+            stall = self._stall_detector.longest_stall(entry.sent)
+            entry.failure += (
+                f", {now - entry.sent:.3f} s after it was sent on a {kind} connection; "
+                f"its client stood still for up to {stall:.3f} s"
+            )
 
     def _record_answer(self, entry, message, reader):
         now = self._stall_detector.check()
@@ -171,21 +168,11 @@
             # Nothing may follow an answer: the ledger counts these bytes as a second one.
             entry.answers.append(Answer(self._loop.time(), 0, b""))
 
-    def _keep_or_close(self, name, message, reader, writer):
-        closes = message.headers.get("connection", "").lower() == "close"
-        if closes or len(self._idle[name]) >= MAX_IDLE_CONNECTIONS:
-            writer.close()
+    def _keep_or_close(self, name, message, connection):
+        if message.headers.get("connection", "").lower() == "close":
+            connection.writer.close()
         else:
-            self._idle[name].append((reader, writer))
-
-    async def _connect(self, name):
-        """Returns (reader, writer) of an idle connection to a node, or of a new one if there is none."""
-        while self._idle[name]:
-            reader, writer = self._idle[name].pop()
-            if not reader.at_eof() and not writer.is_closing():
-                return reader, writer
-            writer.close()
-        return await asyncio.open_connection(*self.nodes[name])
+            self._connections[name].release(connection)
 
     def wait_percentiles(self):
         """Returns percentiles of the waits of successful requests, in milliseconds by name ("p50" etc.)."""
