Load tool: a slow pass of the event loop counts as a stall also if it handles answers

Cause: each answer that a client recorded restarted the measurement of stalls, so a pass of 90 ms that handles many answers was no stall. An answer was also allowed to have waited for one such pass only, while it may arrive during one pass, be read in the next and be handled in the third.

Evidence: test_soak beside 16 busy processes, with the nodes' times logged.

--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -57,7 +57,7 @@
     async def play(self, arrivals):
         """Sends all requests; returns once each is answered, abandoned by its client or lost."""
         start = self._loop.time()
-        stall_detection = self._loop.create_task(self._stall_detector.run())
+        self._stall_detector.start()
         tasks = set()
         for arrival in arrivals:
             intended = start + arrival.time
@@ -70,7 +70,7 @@
             task.add_done_callback(tasks.discard)
         if tasks:
             await asyncio.wait(tasks)
-        stall_detection.cancel()
+        self._stall_detector.stop()
         for connections in self._connections.values():
             connections.close()
 
@@ -161,7 +161,7 @@
             )
 
     def _record_answer(self, entry, message, reader):
-        now = self._stall_detector.check()
+        now = self._loop.time()
         not_before = self._stall_detector.earliest_arrival(now)
         entry.answers.append(Answer(now, int(message.start_line[1]), message.body, not_before))
         if reader._buffer:  # noqa: SLF001 - asyncio has no public way to see that more bytes have arrived.
