Trials: only a request that its node has not read may cross a close

What was seen: beside load, test_soak and the soak by hand reported requests as never answered whose connection their node closed while they were on their way.

Cause: the checker excused any request whose close was read within 20 ms of its sending. A client whose process stood still reads the close later than that. In the other direction, a node that read a request in its last 20 ms and dropped it was excused, too.

Fix: the launcher of the test bed records each request that a node has read, before the node handles it. A request in this record must be answered, also if it came in the last 20 ms. For all others the 20 ms stand, measured to the time at which the close may have arrived, as it is done for late answers.

--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -149,8 +149,9 @@
             reading.cancel()
 
     def _record_failure(self, entry, reason, connection):
-        """Records why a request has no answer, for the description of a violation."""
+        """Records why a request has no answer, and since when its connection may have been closed."""
         now = self._loop.time()
+        entry.ended_not_before = self._stall_detector.earliest_arrival(now)
         entry.failure = reason
         if entry.sent is not None:
             kind = "kept" if connection.is_reused else "new"
--- a/grebedyke/load/ledger.py
+++ b/grebedyke/load/ledger.py
@@ -84,6 +84,8 @@
         sent: The actual time of sending, None if it was not sent.
         answers: All `Answer` entries; exactly one unless a rule is violated.
         ended: The time at which the client finished with the request, None before.
+        ended_not_before: Without an answer, the earliest time at which the connection may have ended: the
+            start of the stall if the client's process stalled before it read the end. None otherwise.
         client_left: Whether the client disconnected before the answer.
         refused: Whether the connection failed before the request was sent.
         failure: The reason why there is no answer, as text; empty otherwise.
@@ -97,6 +99,7 @@
         "sent",
         "answers",
         "ended",
+        "ended_not_before",
         "client_left",
         "refused",
         "failure",
@@ -110,6 +113,7 @@
         self.sent = None
         self.answers = []
         self.ended = None
+        self.ended_not_before = None
         self.client_left = False
         self.refused = False
         self.failure = ""
--- a/grebedyke/testbed/launcher.py
+++ b/grebedyke/testbed/launcher.py
@@ -2,8 +2,8 @@
 
 The test bed runs it as `python -m grebedyke.testbed.launcher`. Only the test bed sets the environment
 variable GREBEDYKE_RIG, a JSON object with these keys: `rate`, the rate of the node's monotonic clock since
-`began`; `wall`, the error of its wall clock in seconds; and `disk`, the path of a file that lists the faults
-of its disk and may change while the node runs.
+`began`; `wall`, the error of its wall clock in seconds; `disk`, the path of a file that lists the faults of
+its disk and may change while the node runs; and `requests`, the path of the record of requests that it reads.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 
 from grebedyke.service import assembly, start
 from grebedyke.service.record_files import RecordFiles
+from grebedyke.testbed.request_record import record_requests
 
 SETTINGS_VARIABLE = "GREBEDYKE_RIG"
 # Duration of a write to a stalled disk, in seconds.
@@ -126,6 +127,7 @@
     rate = settings.get("rate", 1.0)
     epoch = settings.get("began") or time.monotonic_ns()
     disk = settings.get("disk")
+    request_record = settings.get("requests")
     _change_wall_clock(settings.get("wall", 0.0))
     ScaledClockLoop.rate = rate
     ScaledClockLoop.epoch = epoch / NANOSECONDS_PER_SECOND
@@ -141,6 +143,8 @@
         fleet = node_configuration["fleet"]
         files = FaultyFiles(fleet["folder"], lambda: read_faults(disk)) if disk and fleet else None
         node = assembly.assemble(loop, node_configuration, read_again, clock, files)
+        if request_record:
+            record_requests(node.parts.listener, request_record)
         if node_assembled:
             node_assembled(node)
         return node
--- a/grebedyke/testbed/process_cluster.py
+++ b/grebedyke/testbed/process_cluster.py
@@ -25,6 +25,7 @@
     WARM_UP_TIME,
     FolderState,
 )
+from grebedyke.testbed.request_record import read_requests
 from grebedyke.testbed.tcp_proxy import TcpProxy
 
 LAUNCHER_MODULE = "grebedyke.testbed.launcher"
@@ -148,6 +149,7 @@
             "rate": self.clock_rates[name],
             "began": self._clock_epoch,
             "disk": str(self.path(name, "disk")),
+            "requests": str(self.path(name, "requests")),
             "wall": self.relay.random.choice(WALL_CLOCK_ERRORS),
         }
         return environment | {
@@ -307,6 +309,10 @@
         status, text = await self.call(name, "GET", "/v1/maintenance", timeout=STATUS_TIMEOUT)
         return json.loads(text) if status == 200 else None
 
+    def requests_read(self):
+        """Returns the identifiers of all requests that a node has read."""
+        return set().union(*(read_requests(self.path(name, "requests")) for name in self.nodes))
+
     def events(self):
         """Yields (node, event) for the lines of all logs, one log after the other."""
         for name in self.nodes:
