Soak: a process that ends right before it would be killed is no error

What was seen: two runs of test_soak ended with ProcessLookupError, whose message is empty.

Cause: `Soak._end` waits for a process, and kills it when its time is over. If it ends in that moment, asyncio's `kill` finds no process.

Fix: it uses `_send_signal`, as for the other signals, which takes an ended process for what it is.

--- a/grebedyke/testbed/soak.py
+++ b/grebedyke/testbed/soak.py
@@ -191,7 +191,7 @@
             if process.returncode != 0:
                 self.checker.report("exit", f"{name} exited with code {process.returncode}")
         except TimeoutError:
-            process.kill()
+            _send_signal(process, signal.SIGKILL)
             await process.wait()
             self.cluster.event_counts["killed"] += 1
         self.checker.graceful_shutdowns[name].append((start, loop.time()))
