Trials: a request that crosses a close is judged by the node's own record

Evidence: nodes that log their connections and the passes of their loops. A pass of its loop took 15 to 103 ms while the request came; the kernel closes a connection in the pass after the one that decides it.

Cause: the 20 ms in which a request may cross a close were compared with a time that holds the stalls of the node, too.

Fix: the launcher records the stalls of a node's loop beside the requests that it reads (`node_record.py`). A request that the node has read must be answered, as before.

--- a/grebedyke/load/loop_watch.py
+++ b/grebedyke/load/loop_watch.py
@@ -1,9 +1,11 @@
-"""Detects stalls of the load tool's event loop: an answer read after a stall may have been in time."""
+"""Detects stalls of an event loop: data that is read after a stall may have arrived before it."""
 
-CHECK_INTERVAL = 0.02
+import time
+
+CHECK_INTERVAL = 0.002
 """Seconds between two checks of the clock."""
 
-MIN_STALL = 0.05
+MIN_STALL = 0.005
 """Minimum number of seconds between two checks that counts as a stall."""
 
 PASSES_TO_HANDLE_DATA = 3
@@ -20,44 +22,64 @@
     long for many answers would not be seen as a stall.
 
     Attributes:
-        stalls: (start, end) of each stall that has ended, in seconds of the event loop's clock.
+        stalls: (start, end) of each stall that has ended, in seconds of the clock.
+        clock: Returns the time in seconds.
+        on_stall: Called with the start and the end of each stall that has ended; may be None.
     """
 
-    def __init__(self, loop):
+    def __init__(self, loop, clock=time.monotonic, on_stall=None):
         self.stalls = []
+        self.clock = clock
+        self.on_stall = on_stall
         self._loop = loop
-        self._last_check = loop.time()
+        self._last_check = clock()
         self._timer = None
 
     def start(self):
         """Checks the clock until `stop`."""
-        self._last_check = self._loop.time()
-        self._timer = self._loop.call_later(CHECK_INTERVAL, self._check)
+        self._last_check = self.clock()
+        self._set_timer()
 
     def stop(self):
         """Stops checking the clock."""
         if self._timer:
             self._timer.cancel()
 
-    def _check(self):
-        self.stalls = self._stalls_until(self._loop.time())
-        self.start()
+    def check(self):
+        """Records a stall if the last check was too long ago."""
+        now = self.clock()
+        stall = self._open_stall(now)
+        self._last_check = now
+        if stall:
+            self.stalls.append(stall)
+            if self.on_stall:
+                self.on_stall(*stall)
+
+    def _set_timer(self):
+        self._timer = self._loop.call_later(CHECK_INTERVAL, self._timer_expired)
+
+    def _timer_expired(self):
+        self.check()
+        self._set_timer()
+
+    def _open_stall(self, now):
+        """Returns the stall since the last check, None if it was not long ago."""
+        return (self._last_check, now) if now - self._last_check >= MIN_STALL else None
 
     def _stalls_until(self, now):
         """Returns all stalls, with the one that may not have ended."""
-        if now - self._last_check < MIN_STALL:
-            return self.stalls
-        return [*self.stalls, (self._last_check, now)]
+        open_stall = self._open_stall(now)
+        return [*self.stalls, open_stall] if open_stall else self.stalls
 
     def longest_stall(self, since):
         """Returns the length in seconds of the longest stall that ended after a time; 0 if there was none."""
-        stalls = self._stalls_until(self._loop.time())
+        stalls = self._stalls_until(self.clock())
         return max((end - start for start, end in stalls if end > since), default=0.0)
 
     def earliest_arrival(self, now):
         """Returns the earliest time at which data that a task handles now may have arrived.
 
-        If that happens during or shortly after a stall, this is the start of the stall, or of a stall right
+        If that happens during or shortly after a stall, this is the start of the stall, or of a stall shortly
         before it, as each pass of a slow event loop counts as one. Otherwise it is the present time.
         """
         earliest = now
@@ -66,5 +88,5 @@
             if end < latest_end:
                 break
             earliest = start
-            latest_end = start
+            latest_end = start - MIN_STALL
         return earliest
--- a/grebedyke/testbed/launcher.py
+++ b/grebedyke/testbed/launcher.py
@@ -3,7 +3,7 @@
 The test bed runs it as `python -m grebedyke.testbed.launcher`. Only the test bed sets the environment
 variable GREBEDYKE_RIG, a JSON object with these keys: `rate`, the rate of the node's monotonic clock since
 `began`; `wall`, the error of its wall clock in seconds; `disk`, the path of a file that lists the faults of
-its disk and may change while the node runs; and `requests`, the path of the record of requests that it reads.
+its disk and may change while the node runs; and `record`, the path of the file for its `NodeRecorder`.
 """
 
 import asyncio
@@ -17,7 +17,7 @@
 
 from grebedyke.service import assembly, start
 from grebedyke.service.record_files import RecordFiles
-from grebedyke.testbed.request_record import record_requests
+from grebedyke.testbed.node_record import NodeRecorder
 
 SETTINGS_VARIABLE = "GREBEDYKE_RIG"
 # Duration of a write to a stalled disk, in seconds.
@@ -127,7 +127,7 @@
     rate = settings.get("rate", 1.0)
     epoch = settings.get("began") or time.monotonic_ns()
     disk = settings.get("disk")
-    request_record = settings.get("requests")
+    recorder = NodeRecorder(settings["record"]) if "record" in settings else None
     _change_wall_clock(settings.get("wall", 0.0))
     ScaledClockLoop.rate = rate
     ScaledClockLoop.epoch = epoch / NANOSECONDS_PER_SECOND
@@ -143,14 +143,17 @@
         fleet = node_configuration["fleet"]
         files = FaultyFiles(fleet["folder"], lambda: read_faults(disk)) if disk and fleet else None
         node = assembly.assemble(loop, node_configuration, read_again, clock, files)
-        if request_record:
-            record_requests(node.parts.listener, request_record)
+        if recorder:
+            recorder.start(loop, node.parts.listener)
         if node_assembled:
             node_assembled(node)
         return node
 
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    return start.run_node(os.environ, "INFO", False, "json", assemble)
+    exit_code = start.run_node(os.environ, "INFO", False, "json", assemble)
+    if recorder:
+        recorder.close()
+    return exit_code
 
 
 def _change_wall_clock(seconds):
--- a/grebedyke/testbed/process_cluster.py
+++ b/grebedyke/testbed/process_cluster.py
@@ -16,6 +16,7 @@
 from grebedyke.load.fleet import START_TIMEOUT, FleetShape, LocalFleet
 from grebedyke.testbed.launcher import SETTINGS_VARIABLE
 from grebedyke.testbed.network_relay import NetworkRelay
+from grebedyke.testbed.node_record import read_node_record
 from grebedyke.testbed.process_cluster_settings import (
     CLOCK_DRIFT,
     DRAIN_GRACE,
@@ -25,7 +26,6 @@
     WARM_UP_TIME,
     FolderState,
 )
-from grebedyke.testbed.request_record import read_requests
 from grebedyke.testbed.tcp_proxy import TcpProxy
 
 LAUNCHER_MODULE = "grebedyke.testbed.launcher"
@@ -149,7 +149,7 @@
             "rate": self.clock_rates[name],
             "began": self._clock_epoch,
             "disk": str(self.path(name, "disk")),
-            "requests": str(self.path(name, "requests")),
+            "record": str(self.path(name, "record")),
             "wall": self.relay.random.choice(WALL_CLOCK_ERRORS),
         }
         return environment | {
@@ -309,9 +309,9 @@
         status, text = await self.call(name, "GET", "/v1/maintenance", timeout=STATUS_TIMEOUT)
         return json.loads(text) if status == 200 else None
 
-    def requests_read(self):
-        """Returns the identifiers of all requests that a node has read."""
-        return set().union(*(read_requests(self.path(name, "requests")) for name in self.nodes))
+    def node_records(self):
+        """Returns the `NodeRecord` of each node."""
+        return {name: read_node_record(self.path(name, "record")) for name in self.nodes}
 
     def events(self):
         """Yields (node, event) for the lines of all logs, one log after the other."""
--- a/grebedyke/testbed/soak.py
+++ b/grebedyke/testbed/soak.py
@@ -130,7 +130,7 @@
         signals = [asyncio.ensure_future(self._send_signals_until(name, end)) for name in self.cluster.nodes]
         await asyncio.gather(load, *signals)
         self.cluster.report_to(clients.ledger)
-        self.checker.check_rules(clients.ledger, self.cluster.requests_read())
+        self.checker.check_rules(clients.ledger, self.cluster.node_records())
 
     async def _send_signals_until(self, name, end):
         """Sends series of signals to a node until a time of the event loop."""
