--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -1,10 +1,13 @@
 """Slow start: the traffic that warming endpoints get from all nodes together."""
 
+from collections import Counter
+
 import orjson
 from helpers import dispatcher, rows, take_actions
 
 from grebedyke.model.actions import Forward, Probe
 from grebedyke.model.outcome import Outcome
+from grebedyke.units import TICKS_PER_SECOND
 
 
 def test_nodes_take_turns_at_a_cold_executor():
@@ -35,36 +38,60 @@
     assert sent < 200 * 3 / 20
 
 
+WARMING = range(100, 136)
+NODES = 40
+MEAN_RATE = NODES * 10 / 60  # attempts per second and executor, in traffic of ten per second and node
+
+
+def attempts_to_warming_executors(others_have_room):
+    """Returns the endpoints that a node knows, and the (executor, time) of all attempts of all nodes."""
+    attempts = []
+    for number in range(NODES):
+        node = dispatcher(node_count=NODES, node_number=number, probes=True, seed=number)
+        node.endpoints_changed(0, True, rows(*range(24)))
+        node.endpoints_changed(120_000, False, rows(*WARMING, started_at=100_000))
+        for endpoint in node.endpoints.healthy:
+            endpoint.ejected_until = 0 if endpoint.id in WARMING or others_have_room else 10**9
+        for i in range(40):
+            node.endpoints.sends.add(80_000 + i * 1_000)
+        for i in range(40):  # ten per second and node, starting when the warming executors are 2 s old
+            now = 120_000 + i * 1_000
+            node.request_arrived(now, i, "op", None, now + 50_000, 1_000, 1)
+            for (id,) in take_actions(node, now, Probe):
+                node.probe_answered(now, id, "ok", 4, 1)
+            for request_id, id, *_ in take_actions(node, now, Forward):
+                if id in WARMING:
+                    attempts.append((id, now))
+                node.attempt_started(now, request_id, 0)
+                node.attempt_ended(now, request_id, 0, "ok", True)
+    return node.endpoints, attempts
+
+
 def test_many_warming_executors_get_their_share_from_all_nodes_together_and_no_more():
     """If most executors are new, either the others are overloaded or the new ones get too much (rule 4).
 
     The limit must hold whether or not the others have room, since nodes learn that late.
     """
-    warming, nodes = range(100, 136), 40
     for others_have_room in (True, False):
-        sent = {}
-        for number in range(nodes):
-            node = dispatcher(node_count=nodes, node_number=number, probes=True, seed=number)
-            node.endpoints_changed(0, True, rows(*range(24)))
-            node.endpoints_changed(120_000, False, rows(*warming, started_at=100_000))
-            for endpoint in node.endpoints.healthy:
-                endpoint.ejected_until = 0 if endpoint.id in warming or others_have_room else 10**9
-            for i in range(40):
-                node.endpoints.sends.add(80_000 + i * 1_000)
-            for i in range(40):  # ten per second and node, starting when the warming executors are 2 s old
-                now = 120_000 + i * 1_000
-                node.request_arrived(now, i, "op", None, now + 50_000, 1_000, 1)
-                for (id,) in take_actions(node, now, Probe):
-                    node.probe_answered(now, id, "ok", 4, 1)
-                for request_id, id, *_ in take_actions(node, now, Forward):
-                    if id in warming:
-                        sent[id, now // 10_000] = sent.get((id, now // 10_000), 0) + 1
-                    node.attempt_started(now, request_id, 0)
-                    node.attempt_ended(now, request_id, 0, "ok", True)
-        mean = nodes * 10 / 60
+        endpoints, attempts = attempts_to_warming_executors(others_have_room)
+        sent = Counter((id, time // 10_000) for id, time in attempts)
         for (_, second), count in sent.items():
-            assert count < 3 * node.endpoints.warmth(node.endpoints.by_id[100], second * 10_000) * mean
-        assert sum(sent.values()) > 4 * 36 * 0.3 * mean
+            assert count < 3 * endpoints.warmth(endpoints.by_id[100], second * 10_000) * MEAN_RATE
+        assert sum(sent.values()) > 4 * 36 * 0.3 * MEAN_RATE
+
+
+def test_attempts_whose_connections_come_up_together_do_not_overload_a_warming_executor():
+    """Attempts decided one by one arrive together if their connections come up together (rule 4)."""
+    connect_timeout, overload_time = 2_500, 10_000  # ticks, as in deploy/fleet.toml
+    for others_have_room in (True, False):
+        endpoints, attempts = attempts_to_warming_executors(others_have_room)
+        highest = 0.0
+        for id, start in attempts:
+            end = start + connect_timeout + overload_time
+            arrivals = sum(other == id and start <= time <= end for other, time in attempts)
+            warmth = endpoints.warmth(endpoints.by_id[100], start)
+            highest = max(highest, arrivals / (warmth * MEAN_RATE * overload_time / TICKS_PER_SECOND))
+        assert highest < 3, "multiple of what the executor can do"
 
 
 def test_a_fleet_of_warming_executors_does_not_starve_itself():
