Load tool, test bed, benchmarks: modules have the names of what they hold

`load/loop_watch` is `stall_detector`, `testbed/counted_node` is `instrumented_node`, `benchmarks/cold_judge` is `cold_load_checker` and `benchmarks/slopes` is `growth_fit`; ROADMAP listed them. Only names and imports change.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -6,7 +6,7 @@
 executor model of the emulator. Each round draws settings, executors and traffic from its seed: some nodes get
 several times the mean traffic and others almost none, half of the executors are replaced at once, the change
 of the endpoint list reaches the nodes seconds apart, a burst follows, and a fifth of the nodes restarts
-repeatedly. `benchmarks.cold_judge` describes how the load is counted.
+repeatedly. `benchmarks.cold_load_checker` describes how the load is counted.
 """
 
 from concurrent.futures import ProcessPoolExecutor
--- a/benchmarks/cold_round.py
+++ b/benchmarks/cold_round.py
@@ -7,7 +7,7 @@
 from math import inf
 from typing import NamedTuple
 
-from benchmarks.cold_judge import ColdLoadChecker
+from benchmarks.cold_load_checker import ColdLoadChecker
 from benchmarks.cold_settings import CLIENT_TIMEOUT, SCHEDULING_INTERVAL, RoundSettings
 from grebedyke.emulators.executor_model import Admission, ExecutorModel, ExecutorSettings
 from grebedyke.model.actions import Forward, Probe, WakeAt
--- a/benchmarks/fleet_scale.py
+++ b/benchmarks/fleet_scale.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from benchmarks.fleet_tables import EXPECTED_SIZES, Growth, format_quantity, growth_cell
-from benchmarks.slopes import estimate, fit_growth
+from benchmarks.growth_fit import estimate, fit_growth
 
 KINDS = ("hollow", "real", "simulated")
 
--- a/benchmarks/fleet_tables.py
+++ b/benchmarks/fleet_tables.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from benchmarks.slopes import GrowthFit, estimate, fit_growth
+from benchmarks.growth_fit import GrowthFit, estimate, fit_growth
 
 # The sizes that operators expect, see docs/CAPACITY.md.
 EXPECTED_SIZES = {
--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -10,7 +10,7 @@
 from grebedyke.errors import MalformedMessageError
 from grebedyke.load.connection_pool import ConnectionPool
 from grebedyke.load.ledger import Answer, Ledger
-from grebedyke.load.loop_watch import StallDetector
+from grebedyke.load.stall_detector import StallDetector
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 LATE_ANSWER_WAIT = 0.5
--- a/grebedyke/testbed/counted_node.py
+++ b/grebedyke/testbed/instrumented_node.py
@@ -1,6 +1,6 @@
 """A real node of a scale run, whose components have the same instruments as those of a hollow node.
 
-A scale run starts it as `python -m grebedyke.testbed.counted_node`, which runs the launcher with an agent.
+A scale run starts it as `python -m grebedyke.testbed.instrumented_node`: the launcher with an agent.
 """
 
 import asyncio
--- a/grebedyke/testbed/node_record.py
+++ b/grebedyke/testbed/node_record.py
@@ -4,7 +4,7 @@
 import time
 from typing import NamedTuple
 
-from grebedyke.load.loop_watch import StallDetector
+from grebedyke.load.stall_detector import StallDetector
 
 
 class NodeRecord(NamedTuple):
--- a/grebedyke/testbed/scale_run.py
+++ b/grebedyke/testbed/scale_run.py
@@ -32,7 +32,7 @@
 from grebedyke.units import TICKS_PER_SECOND
 
 HOLLOW_MODULE = "grebedyke.testbed.hollow_node"
-REAL_MODULE = "grebedyke.testbed.counted_node"
+REAL_MODULE = "grebedyke.testbed.instrumented_node"
 SHARED_MEMORY = "/dev/shm"
 # Seconds within which all processes are up, and within which all nodes agree for the first time.
 START_TIMEOUT = 120.0
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,11 +9,11 @@
     fleet,
     fleet_cases,
     fleet_tables,
+    growth_fit,
     measured_cluster,
     measurements,
     processes,
     roles,
-    slopes,
 )
 from grebedyke.units import TICKS_PER_SECOND
 
@@ -48,7 +48,7 @@
 
 
 @pytest.mark.parametrize(
-    "module", [slopes, fleet_tables, measurements, measured_cluster], ids=lambda module: module.__name__
+    "module", [growth_fit, fleet_tables, measurements, measured_cluster], ids=lambda module: module.__name__
 )
 def test_doctests(module):
     failed, tried = doctest.testmod(module)
@@ -92,7 +92,7 @@
         fit = growths["voter", "nodes"]["messages " + direction][2]
         assert abs(fit.slope - 2) < 0.1 and fit.line_error < 0.03
     assert growths["node: agreement and maintenance", "nodes"]["messages out"][1] == [10] * 3
-    value, is_extrapolated = slopes.estimate(fit, 760)
+    value, is_extrapolated = growth_fit.estimate(fit, 760)
     assert is_extrapolated and 1_450 < value < 1_600
 
 
--- a/tests/test_load_clients.py
+++ b/tests/test_load_clients.py
@@ -9,7 +9,7 @@
 from grebedyke.load.arrivals import Operation
 from grebedyke.load.connection_pool import ConnectionPool
 from grebedyke.load.ledger import Answer, Ledger
-from grebedyke.load.loop_watch import CHECK_INTERVAL, MIN_STALL, StallDetector
+from grebedyke.load.stall_detector import CHECK_INTERVAL, MIN_STALL, StallDetector
 from grebedyke.testbed.node_record import NO_RECORD, NodeRecord, NodeRecorder, read_node_record
 from grebedyke.testbed.trial_checker import TrialChecker
 
