Trials: a computation of the node itself is no stall

The record of a node's stalls, by which the checker excuses a request that crosses a close, held all gaps of its event loop.

Fix: the recorder counts the time in which the process did not run, that is elapsed time less processor time. The test of the record fails without it.

--- a/grebedyke/testbed/node_record.py
+++ b/grebedyke/testbed/node_record.py
@@ -12,7 +12,8 @@
 
     Attributes:
         requests: The identifiers of the requests that they have read.
-        stalls: (process, start, end) of the stalls of their event loops, in seconds of the monotonic clock.
+        stalls: (process, start, end) of the periods in which a process did not run although its event loop
+            had work, in seconds of the monotonic clock.
     """
 
     requests: frozenset[str]
@@ -57,8 +58,7 @@
             handle(connection, incoming)
 
         listener.on_request = record_and_handle
-        # The clients use the true clock, the node's event loop a scaled one.
-        self._stall_detector = StallDetector(loop, time.monotonic, self._record_stall)
+        self._stall_detector = StallDetector(loop, _time_not_running, self._record_stall)
         self._stall_detector.start()
 
     def close(self):
@@ -68,7 +68,14 @@
         self._file.close()
 
     def _record_stall(self, start, end):
-        self._file.write(b"stall %d %f %f\n" % (self._process, start, end))
+        # Converted to the clock of the clients.
+        now = time.monotonic()
+        self._file.write(b"stall %d %f %f\n" % (self._process, now - (end - start), now))
+
+
+def _time_not_running():
+    """Returns the seconds in which this process has not run: a long computation of the node is no stall."""
+    return time.monotonic() - time.process_time()
 
 
 def read_node_record(path):
--- a/tests/test_load_clients.py
+++ b/tests/test_load_clients.py
@@ -17,6 +17,8 @@
 PAY = Operation("pay", "unsafe", 1.0)
 # Seconds in which a close on a loopback connection reaches the other side's kernel.
 CLOSE_TIME = 0.05
+# Processor time in seconds of a computation that blocks the event loop.
+COMPUTING_TIME = 0.05
 
 
 def test_no_request_is_sent_on_a_connection_whose_close_is_unread():
@@ -161,9 +163,17 @@
         time.sleep(2 * MIN_STALL)
         await asyncio.sleep(2 * CHECK_INTERVAL)
         listener.on_request("connection", Incoming)
+        start = time.monotonic()
+        await asyncio.sleep(2 * CHECK_INTERVAL)
+        end_of_computation = time.process_time() + COMPUTING_TIME
+        while time.process_time() < end_of_computation:
+            pass
+        await asyncio.sleep(2 * CHECK_INTERVAL)
+        computing.append((start, time.monotonic()))
         time.sleep(3 * MIN_STALL)
 
     handled = []
+    computing = []
     path = tmp_path / "record"
     assert read_node_record(path) == NO_RECORD
     listener = Listener()
@@ -171,5 +181,8 @@
     asyncio.run(scenario())
     recorder.close()
     assert handled == [("connection", Incoming, {"n0-1-0"})]
-    lengths = [end - start for _, start, end in read_node_record(path).stalls]
+    record = read_node_record(path)
+    lengths = [end - start for _, start, end in record.stalls]
     assert lengths[0] >= 2 * MIN_STALL and lengths[-1] >= 3 * MIN_STALL
+    [(start, end)] = computing
+    assert record.stalled_time(start, end) <= end - start - COMPUTING_TIME
