Trials: only the soak checks for stalls every 2 ms

Cause: each client and each node checked its clock every 2 ms. The clients of four trials share a process with the relays of the nodes' messages, which then were late, and the nodes had no certain view.

--- a/grebedyke/load/clients.py
+++ b/grebedyke/load/clients.py
@@ -10,7 +10,7 @@
 from grebedyke.errors import MalformedMessageError
 from grebedyke.load.connection_pool import ConnectionPool
 from grebedyke.load.ledger import Answer, Ledger
-from grebedyke.load.stall_detector import StallDetector
+from grebedyke.load.stall_detector import CHECK_INTERVAL, StallDetector
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 LATE_ANSWER_WAIT = 0.5
@@ -41,7 +41,9 @@
         lag: The maximum delay of the tool itself in seconds; the measured waits include it.
     """
 
-    def __init__(self, nodes, ledger=None, seed=0, retries=1, backoff=0.1):
+    def __init__(
+        self, nodes, ledger=None, seed=0, retries=1, backoff=0.1, stall_check_interval=CHECK_INTERVAL
+    ):
         self.nodes = dict(nodes)
         self.ledger = ledger or Ledger()
         self.retries = retries
@@ -50,7 +52,7 @@
         self.lag = 0.0
         self._random = random.Random(seed)
         self._loop = asyncio.get_running_loop()
-        self._stall_detector = StallDetector(self._loop)
+        self._stall_detector = StallDetector(self._loop, stall_check_interval)
         self._connections = {name: ConnectionPool(address) for name, address in self.nodes.items()}
         self._request_count = 0
 
--- a/grebedyke/load/stall_detector.py
+++ b/grebedyke/load/stall_detector.py
@@ -2,11 +2,11 @@
 
 import time
 
-CHECK_INTERVAL = 0.002
-"""Seconds between two checks of the clock."""
+CHECK_INTERVAL = 0.02
+"""Seconds between two checks of the clock, if its owner does not ask for others."""
 
-MIN_STALL = 0.005
-"""Minimum number of seconds between two checks that counts as a stall."""
+MIN_STALL_INTERVALS = 2.5
+"""Minimum time between two checks that counts as a stall, in check intervals."""
 
 PASSES_TO_HANDLE_DATA = 3
 """Passes of the event loop in which data may arrive, is read, and resumes the task that handles it."""
@@ -23,15 +23,18 @@
 
     Attributes:
         stalls: (start, end) of each stall that has ended, in seconds of the clock.
+        check_interval: Seconds between two checks.
         clock: Returns the time in seconds.
         on_stall: Called with the start and the end of each stall that has ended; may be None.
     """
 
-    def __init__(self, loop, clock=time.monotonic, on_stall=None):
+    def __init__(self, loop, check_interval=CHECK_INTERVAL, clock=time.monotonic, on_stall=None):
         self.stalls = []
+        self.check_interval = check_interval
         self.clock = clock
         self.on_stall = on_stall
         self._loop = loop
+        self._min_stall = check_interval * MIN_STALL_INTERVALS
         self._last_check = clock()
         self._timer = None
 
@@ -56,7 +59,7 @@
                 self.on_stall(*stall)
 
     def _set_timer(self):
-        self._timer = self._loop.call_later(CHECK_INTERVAL, self._timer_expired)
+        self._timer = self._loop.call_later(self.check_interval, self._timer_expired)
 
     def _timer_expired(self):
         self.check()
@@ -64,7 +67,8 @@
 
     def _open_stall(self, now):
         """Returns the stall since the last check, None if it was not long ago."""
-        return (self._last_check, now) if now - self._last_check >= MIN_STALL else None
+        is_stall = now - self._last_check >= self._min_stall
+        return (self._last_check, now) if is_stall else None
 
     def _stalls_until(self, now):
         """Returns all stalls, with the one that may not have ended."""
@@ -88,5 +92,5 @@
             if end < latest_end:
                 break
             earliest = start
-            latest_end = start - MIN_STALL
+            latest_end = start - self._min_stall
         return earliest
--- a/grebedyke/testbed/launcher.py
+++ b/grebedyke/testbed/launcher.py
@@ -3,7 +3,8 @@
 The test bed runs it as `python -m grebedyke.testbed.launcher`. Only the test bed sets the environment
 variable GREBEDYKE_RIG, a JSON object with these keys: `rate`, the rate of the node's monotonic clock since
 `began`; `wall`, the error of its wall clock in seconds; `disk`, the path of a file that lists the faults of
-its disk and may change while the node runs; and `record`, the path of the file for its `NodeRecorder`.
+its disk and may change while the node runs; `record`, the path of the file for its `NodeRecorder`; and
+`stall_check_interval`, the recorder's seconds between two checks for stalls.
 """
 
 import asyncio
@@ -144,7 +145,7 @@
         files = FaultyFiles(fleet["folder"], lambda: read_faults(disk)) if disk and fleet else None
         node = assembly.assemble(loop, node_configuration, read_again, clock, files)
         if recorder:
-            recorder.start(loop, node.parts.listener)
+            recorder.start(loop, node.parts.listener, settings["stall_check_interval"])
         if node_assembled:
             node_assembled(node)
         return node
--- a/grebedyke/testbed/node_record.py
+++ b/grebedyke/testbed/node_record.py
@@ -44,12 +44,13 @@
         self._process = os.getpid()
         self._stall_detector = None
 
-    def start(self, loop, listener):
+    def start(self, loop, listener, stall_check_interval):
         """Records each request before the node handles it, and the stalls of the event loop until `close`.
 
         Args:
             loop: The node's event loop.
             listener: The node's `ClientListener`.
+            stall_check_interval: Seconds between two checks of a `StallDetector`.
         """
         handle = listener.on_request
 
@@ -58,7 +59,9 @@
             handle(connection, incoming)
 
         listener.on_request = record_and_handle
-        self._stall_detector = StallDetector(loop, _time_not_running, self._record_stall)
+        self._stall_detector = StallDetector(
+            loop, stall_check_interval, _time_not_running, self._record_stall
+        )
         self._stall_detector.start()
 
     def close(self):
--- a/grebedyke/testbed/process_cluster.py
+++ b/grebedyke/testbed/process_cluster.py
@@ -150,6 +150,7 @@
             "began": self._clock_epoch,
             "disk": str(self.path(name, "disk")),
             "record": str(self.path(name, "record")),
+            "stall_check_interval": self.settings.stall_check_interval,
             "wall": self.relay.random.choice(WALL_CLOCK_ERRORS),
         }
         return environment | {
--- a/grebedyke/testbed/process_cluster_settings.py
+++ b/grebedyke/testbed/process_cluster_settings.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from grebedyke.load.deployment import ZONES
+from grebedyke.load.stall_detector import CHECK_INTERVAL
 
 # Times of the nodes in seconds; short, to keep trials short.
 LEASE = 1.0
@@ -47,6 +48,7 @@
         older_tree: Source tree of another version, which a random part of the starts run; None for none.
         zones: The zones of nodes and executors.
         limits: Fleet-wide limits as rows of a configuration; None for none.
+        stall_check_interval: Seconds between two checks of a node's event loop for stalls.
     """
 
     operations: Sequence
@@ -59,3 +61,4 @@
     older_tree: str | None = None
     zones: Sequence[str] = ZONES
     limits: Sequence[dict] | None = None
+    stall_check_interval: float = CHECK_INTERVAL
--- a/grebedyke/testbed/soak.py
+++ b/grebedyke/testbed/soak.py
@@ -33,6 +33,8 @@
 """Mean running time of a request in seconds."""
 MIN_KILL_DELAY = max(operation.timeout for operation in OPERATIONS) + 0.7
 """Seconds from SIGTERM until a node may be killed: the longest client timeout and the protocol's own time."""
+STALL_CHECK_INTERVAL = 0.002
+"""Seconds between two checks for stalls: short against the time in which a request may cross a close."""
 MAX_SERIES_INTERVAL = 1.5
 """Longest time in seconds between two series of signals to a node."""
 MAX_SIGNAL_INTERVAL = 0.3
@@ -101,7 +103,12 @@
         self.seconds = seconds
         self.cluster = ProcessCluster(
             ProcessClusterSettings(
-                operations=OPERATIONS, nodes=NODES, executors=EXECUTORS, seed=seed, maintenance=False
+                operations=OPERATIONS,
+                nodes=NODES,
+                executors=EXECUTORS,
+                seed=seed,
+                maintenance=False,
+                stall_check_interval=STALL_CHECK_INTERVAL,
             )
         )
         self.checker = TrialChecker()
@@ -122,7 +129,9 @@
         return SoakResult(self.seed, self.checker.violations, counts)
 
     async def _run(self):
-        clients = OpenLoopClients(self.cluster.nodes, seed=self.seed)
+        clients = OpenLoopClients(
+            self.cluster.nodes, seed=self.seed, stall_check_interval=STALL_CHECK_INTERVAL
+        )
         shape = LoadShape(operations=OPERATIONS, rate=REQUEST_RATE, seconds=self.seconds, mean_work=MEAN_WORK)
         load = asyncio.ensure_future(clients.play(draw_arrivals(self.seed, shape)))
         loop = asyncio.get_running_loop()
