--- a/grebedyke/testbed/node_record.py
+++ b/grebedyke/testbed/node_record.py
@@ -55,6 +55,7 @@
         handle = listener.on_request
 
         def record_and_handle(connection, incoming):
+            """Records a request and passes it on to the node."""
             self._file.write(b"read %s\n" % incoming.request_id)
             handle(connection, incoming)
 
