--- a/review/rig2/platform.py
+++ b/review/rig2/platform.py
@@ -124,7 +124,7 @@
 class Executor(Server):
     """An executor: takes jobs with 202, runs them in its slots in order, and calls back.
 
-    The body of a job is JSON with the running time `work_ms`.
+    The body of a job is JSON: the running time `work_ms`, and `who` sent it, which the result repeats.
 
     Attributes:
         name: Its name in the list.
@@ -153,7 +153,9 @@
                 job = Job(request_id, now, request_id.partition("-")[0], None, told)
                 self.jobs.append(job)
                 writer.write(response("202 Accepted"))
-                self.spawn(self._run(job, json.loads(body)["work_ms"] / 1000))
+                work = json.loads(body)
+                result = " ".join(filter(None, (self.name, request_id, work.get("who"))))
+                self.spawn(self._run(job, work["work_ms"] / 1000, result))
             elif method == "DELETE":
                 self.record.note(f"{self.name} is told to give up {target.rpartition('/')[2]}")
                 writer.write(response("200 OK"))
@@ -161,7 +163,7 @@
                 writer.write(response("200 OK" if target == "/alive" else "404 Not Found"))
             await writer.drain()
 
-    async def _run(self, job, seconds):
+    async def _run(self, job, seconds, result):
         async with self._slots:
             self.spawn(self._call_back(job, "started"))
             rest = seconds
@@ -171,7 +173,7 @@
                 self.spawn(self._call_back(job, "running", share=round(1 - rest / seconds, 3)))
             await asyncio.sleep(rest)
             job.ended_at = self.record.note(f"{self.name} has run {job.id}")
-        await self._call_back(job, "done", result=f"{self.name} {job.id}")
+        await self._call_back(job, "done", result=result)
 
     def running(self):
         """Returns the ids of the jobs that have not run to their end."""
@@ -323,12 +325,21 @@
     asked: list[Asked] = field(default_factory=list)
     _idle: list = field(default_factory=list)
 
-    async def ask(self, operation, timeout, work_ms, slack=1.0):
-        """Sends a request and waits for its answer, `slack` seconds longer than its client timeout."""
-        request_id = f"{self.name}-{len(self.asked)}"
+    async def ask(self, operation, timeout, work_ms, slack=1.0, request_id=None, who=None):
+        """Sends a request and waits for its answer, `slack` seconds longer than its client timeout.
+
+        Args:
+            operation: The operation.
+            timeout: How long the client waits, in seconds.
+            work_ms: The running time of the job.
+            slack: How much longer an answer is waited for, in seconds.
+            request_id: The request's id; None for a new one.
+            who: Who sends it, a part of the job's result; None to say nothing.
+        """
+        request_id = request_id or f"{self.name}-{len(self.asked)}"
         asked = Asked(request_id, 0.0, timeout)
         self.asked.append(asked)
-        body = json.dumps({"work_ms": work_ms}).encode()
+        body = json.dumps({"work_ms": work_ms, "who": who}).encode()
         message = (
             f"POST /{operation}/k HTTP/1.1\r\nHost: node\r\nX-Request-ID: {request_id}\r\n"
             f"X-Priority-Class: {operation}\r\nX-Tenant-Id: t\r\nX-Timeout-Ms: {int(timeout * 1000)}\r\n"
