Hot restart: an identifier open in one process is refused by the other

Cause: both processes accept on one address and each knew its own identifiers only. JobUpdates matched a call-back by identifier first, so the new process took the old one's call-back for a late one of its own request and dropped it. The record shows the old process's attempt at s-0, the new one's at s-3, then "s-0 has run" and 500.

Change: one process owns the decision at each moment. The successor takes it, with all identifiers that the predecessor holds, right before it listens; from then on the predecessor claims each identifier before it admits the request. Without an answer a process assumes that the other one has the identifier: the request waits and is errored when its time is up. A call-back of an attempt that is not here is passed on. A check by asking late could not be right: between question and answer either process may accept; with one owner there is no such moment, also for both in one instant.

The successor's HELLO has a further field, which earlier versions ignore; STATE names the answer only to a successor that sent it.

Tests: tests/test_request_identifiers.py.

--- a/grebedyke/model/in_flight.py
+++ b/grebedyke/model/in_flight.py
@@ -29,9 +29,20 @@
         received_at: Time at which it was accepted, in ticks.
         attempts: Its `InFlightAttempt`s in order, including those that have ended.
         open_attempts: Number of attempts that have not ended.
+        is_claimed: Whether no other process of this node has a request of this identifier.
     """
 
-    __slots__ = ("id", "client", "line", "body", "answer_by", "received_at", "attempts", "open_attempts")
+    __slots__ = (
+        "id",
+        "client",
+        "line",
+        "body",
+        "answer_by",
+        "received_at",
+        "attempts",
+        "open_attempts",
+        "is_claimed",
+    )
 
     def __init__(self, id, client, line, body, answer_by, received_at):
         self.id = id
@@ -42,6 +53,7 @@
         self.received_at = received_at
         self.attempts = []
         self.open_attempts = 0
+        self.is_claimed = False
 
 
 class InFlightAttempt:
--- a/grebedyke/model/refusal.py
+++ b/grebedyke/model/refusal.py
@@ -20,6 +20,8 @@
         NO_SLOT: No coordinator granted a slot.
         TABLE_FULL: The request table is full; the request was not accepted.
         SHUTTING_DOWN: The process is shutting down; the request was not accepted.
+        DUPLICATE_ID: The request's identifier is in use; answered 409.
+        UNDECIDED_ID: The other process of this node did not say in time whether the identifier is in use.
     """
 
     OVER_LIMIT = "over_limit"
@@ -34,3 +36,5 @@
     NO_SLOT = "no_slot"
     TABLE_FULL = "table_full"
     SHUTTING_DOWN = "shutting_down"
+    DUPLICATE_ID = "duplicate_id"
+    UNDECIDED_ID = "undecided_id"
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -10,6 +10,7 @@
 from grebedyke.service.configuration_reload import ConfigurationReload, ReloadablePart
 from grebedyke.service.dispatcher_host import DispatcherHost
 from grebedyke.service.hot_restart import HotRestart
+from grebedyke.service.identifier_channel import IdentifierChannel
 from grebedyke.service.metrics import Metrics
 from grebedyke.service.node import Node, NodeParts
 from grebedyke.service.node_settings import descriptor_shares, node_settings, with_capped_interval
@@ -91,6 +92,7 @@
         partial(_on_sharing_changed, core, peers),
     )
     messages.hot_restart = hot_restart
+    identifier_channel = IdentifierChannel(hot_restart, host.requests.identifiers)
     host.job_updates.pass_on = messages.send_job_update
     admin_api = AdminApi(core.batch, None, partial(_set_banned, host, messages), shares.admin_connections)
     return NodeParts(
@@ -105,6 +107,7 @@
         peers=peers,
         hot_restart=hot_restart,
         process_messages=messages,
+        identifier_channel=identifier_channel,
     )
 
 
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -15,6 +15,10 @@
 from grebedyke.service.process_channel import ProcessChannel
 
 PROTOCOL_VERSION = 1
+# Fields of HELLO and STATE: each side says that it handles the messages about identifiers. A process of an
+# earlier version ignores the first and does not send the second.
+TAKES_IDENTIFIERS = "takes_identifiers"
+GIVES_IDENTIFIERS = "gives_identifiers"
 # Seconds that a successor waits for the predecessor's state. The predecessor may be short of CPU during the
 # start of its successor, and without the state transfer connections have to be closed.
 STATE_TIMEOUT_S = 3.0
@@ -35,6 +39,11 @@
         CONNECTION: A client's connection for the successor.
         BAN: An operator has banned an endpoint or ended the ban.
         RELOAD: The sender received the signal to reload.
+        TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
+        IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
+        CLAIM: The predecessor asks whether it may accept an identifier.
+        DECISION: The successor's answer to a claim.
+        RELEASE: An identifier that the predecessor has claimed is not in use any more.
     """
 
     HELLO = "hello"
@@ -44,6 +53,11 @@
     CONNECTION = "client"
     BAN = "hand"
     RELOAD = "reload"
+    TAKE_IDENTIFIERS = "take-identifiers"
+    IDENTIFIERS = "identifiers"
+    CLAIM = "claim"
+    DECISION = "decision"
+    RELEASE = "release"
 
 
 class HotRestart:
@@ -61,6 +75,10 @@
         successor: Channel to the successor; None if there is none.
         successor_is_ready: Whether the successor is serving.
         wants_successor: Whether this process listens again after its successor has ended.
+        on_predecessor_end: Called when the predecessor has ended.
+        on_successor_end: Called when the successor has ended.
+        predecessor_gives_identifiers: Whether the predecessor handles `TAKE_IDENTIFIERS`; a process of an
+            earlier version does not.
     """
 
     def __init__(self, loop, folder, name, export_state, handlers, on_sharing_changed):
@@ -74,6 +92,9 @@
         self.successor = None
         self.successor_is_ready = False
         self.wants_successor = False
+        self.on_predecessor_end = do_nothing
+        self.on_successor_end = do_nothing
+        self.predecessor_gives_identifiers = False
         self._state_received = None  # future of the descriptors received with the state; None without state
         self._folder_descriptor = None
 
@@ -96,7 +117,9 @@
             return None
         self._state_received = self.loop.create_future()
         self.predecessor = ProcessChannel(self.loop, client, self._on_message, self._on_end)
-        self.predecessor.send({"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION})
+        self.predecessor.send(
+            {"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION, TAKES_IDENTIFIERS: True}
+        )
         timer = self.loop.call_later(STATE_TIMEOUT_S, self.predecessor.close)
         descriptors = await self._state_received
         timer.cancel()
@@ -196,8 +219,9 @@
     def _handle(self, channel, kind, message, descriptors):
         """Handles one message; removes the descriptors that it keeps from the list."""
         if kind == MessageKind.HELLO and message["version"] == PROTOCOL_VERSION:
-            self._accept_successor(channel)
+            self._accept_successor(channel, message.get(TAKES_IDENTIFIERS, False))
         elif kind == MessageKind.STATE and not self._state_received.done():
+            self.predecessor_gives_identifiers = message.pop(GIVES_IDENTIFIERS, False)
             self.on_sharing_changed(True)
             self.handlers[kind](message)
             self._state_received.set_result(descriptors[:])
@@ -212,12 +236,14 @@
         else:
             channel.close()
 
-    def _accept_successor(self, channel):
+    def _accept_successor(self, channel, takes_identifiers):
         if self.successor or channel is self.predecessor:
             channel.close()  # only one successor at a time
             return
         self.successor = channel
         state, descriptor = self.export_state()
+        if takes_identifiers:
+            state[GIVES_IDENTIFIERS] = True
         channel.send({"kind": MessageKind.STATE, **state}, descriptor)
         self.on_sharing_changed(True)
 
@@ -227,10 +253,16 @@
             if not self._state_received.done():
                 self._state_received.set_result(None)
             self.on_sharing_changed(False)
+            self.on_predecessor_end()
         elif channel is self.successor:
             self.successor = None
             self.successor_is_ready = False
             self.on_sharing_changed(False)
+            self.on_successor_end()
             if self.wants_successor and not self.server:
                 logger.warning("the new process has ended, this one serves alone", event="handover-gone")
                 self.listen_for_successor()
+
+
+def do_nothing():
+    """Replaces a callback that is not set."""
--- a/grebedyke/service/job_updates.py
+++ b/grebedyke/service/job_updates.py
@@ -21,7 +21,7 @@
         dispatcher: Receives starts and progress of attempts.
         requests: The `RequestTable`.
         attempts: The `AttemptSender`.
-        pass_on: Called with a `JobUpdate` about a request that this process does not have; sends it to the
+        pass_on: Called with a `JobUpdate` about an attempt that this process does not have; sends it to the
             other process of this node, as both listen on one address.
     """
 
@@ -40,13 +40,11 @@
             is_direct: Whether it was sent to this process; otherwise the other process has passed it on.
         """
         request = self.requests.pending.get(update.request_id.encode())
-        if request is None:
+        attempt = request and _open_attempt_at(request, update.executor)
+        if attempt is None:
             if is_direct:
                 self.pass_on(update)
             return
-        attempt = _open_attempt_at(request, update.executor)
-        if attempt is None:
-            return
         outcome = OUTCOMES.get(update.state)
         if update.state == JobState.STARTED:
             self._start(now, attempt)
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -15,6 +15,7 @@
 from grebedyke.service.dispatcher_host import DispatcherHost
 from grebedyke.service.graceful_shutdown import GracefulShutdown
 from grebedyke.service.hot_restart import HotRestart
+from grebedyke.service.identifier_channel import IdentifierChannel
 from grebedyke.service.metrics import Metrics
 from grebedyke.service.process_messages import ProcessMessages
 from grebedyke.units import TICKS_PER_SECOND
@@ -71,6 +72,7 @@
         peers: The socket for datagrams of other nodes.
         hot_restart: The channel to another process of this node.
         process_messages: The messages on that channel.
+        identifier_channel: The messages on that channel about request identifiers.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -84,6 +86,7 @@
     peers: PeerSocket
     hot_restart: HotRestart
     process_messages: ProcessMessages
+    identifier_channel: IdentifierChannel
 
 
 class Node:
@@ -151,6 +154,7 @@
             await self.stopped
             return
         parts = self.parts
+        await parts.identifier_channel.take_ownership()
         await parts.listener.listen(parts.loop, *self.configuration["listen"], listening_socket)
         self._begin_serving()
         await self.stopped
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -1,11 +1,35 @@
 """The request table: keeps each accepted request until its final answer is written."""
 
+from functools import partial
+from typing import NamedTuple
+
 from loguru import logger
 
 from grebedyke.model.events import ClientLeft, RequestArrived
 from grebedyke.model.in_flight import PendingRequest, RequestLine
 from grebedyke.model.refusal import RefusalReason
+from grebedyke.service.request_identifiers import RequestIdentifiers
 from grebedyke.units import TICKS_PER_SECOND
+from grebedyke.wire.client_connection import ClientConnection
+from grebedyke.wire.request_headers import IncomingRequest
+
+ID_IN_USE = b"this X-Request-ID is under way"
+
+
+class _Admission(NamedTuple):
+    """A registered request that is not yet passed to the dispatcher.
+
+    Attributes:
+        request: The `PendingRequest`.
+        incoming: The `IncomingRequest`.
+        deadline: When the client gives up, in ticks.
+        unread_client: The request's connection if its unread data may include the client's close, else None.
+    """
+
+    request: PendingRequest
+    incoming: IncomingRequest
+    deadline: int
+    unread_client: ClientConnection | None
 
 
 class RequestTable:
@@ -18,6 +42,7 @@
         settings: The `RequestSettings` in force.
         attempts: The `AttemptSender`, which sets itself here.
         pending: The `PendingRequest`s by identifier.
+        identifiers: The `RequestIdentifiers`.
         shutdown_at: Time at which a graceful shutdown ends, in ticks; None without a shutdown.
     """
 
@@ -28,6 +53,7 @@
         self.settings = settings
         self.attempts = None
         self.pending = {}
+        self.identifiers = RequestIdentifiers(self.pending)
         self.shutdown_at = None
 
     # Accepting.
@@ -43,8 +69,9 @@
             incoming: The `IncomingRequest`.
         """
         request_id = incoming.request_id
-        if request_id in self.pending:
-            client.respond(409, b"this X-Request-ID is under way")
+        if self.identifiers.is_known(request_id):
+            self.metrics.count(RefusalReason.DUPLICATE_ID)
+            client.respond(409, ID_IN_USE)
             return
         now = self.batch.clock()
         refusal = self._refusal(now)
@@ -65,12 +92,31 @@
         client.open_request = request
         self.pending[request_id] = request
         self.metrics.count("taken")
-        if read_delay or client.awaits_first_request:
-            # The request may have waited in the kernel, or its connection in the accept queue, together with
-            # the client's close.
-            self.batch.enqueue_once_read(client, self._admit, request, incoming, deadline)
+        # The request may have waited in the kernel, or its connection in the accept queue, together with the
+        # client's close.
+        reads_first = read_delay or client.awaits_first_request
+        admission = _Admission(request, incoming, deadline, client if reads_first else None)
+        self.identifiers.claim(request_id, partial(self._on_claim_decided, admission))
+        if not request.is_claimed:
+            self._limit_open_time(now, request)
+
+    def _on_claim_decided(self, admission, is_granted):
+        request = admission.request
+        if not is_granted:
+            self.batch.enqueue(self._refuse_duplicate, request)
+            return
+        request.is_claimed = True
+        if admission.unread_client:
+            self.batch.enqueue_once_read(admission.unread_client, self._admit, admission)
         else:
-            self.batch.enqueue(self._admit, request, incoming, deadline)
+            self.batch.enqueue(self._admit, admission)
+
+    def _refuse_duplicate(self, now, request):
+        """Answers a request whose identifier is in use in the other process of this node."""
+        self.pending.pop(request.id, None)
+        if request.client:
+            self.metrics.count(RefusalReason.DUPLICATE_ID)
+            self.respond(now, request, 409, "errored", ID_IN_USE)
 
     def _refusal(self, now):
         """Returns the `RefusalReason` if a request cannot be accepted, else None."""
@@ -93,21 +139,25 @@
         answer_by = deadline - read_delay
         return min(answer_by, self.shutdown_at) if self.shutdown_at else answer_by
 
-    def _admit(self, now, request, incoming, deadline):
+    def _admit(self, now, admission):
+        request, incoming = admission.request, admission.incoming
         # Set first, so that the client gets an answer in time even if a later step fails.
-        answer_check = request.answer_by - self.settings.scheduling_interval
-        self.batch.call_at(max(answer_check, now + 1), self.fail_unanswered, request)
+        self._limit_open_time(now, request)
         if request.client:
             event = RequestArrived(
                 request.id,
                 incoming.operation,
                 incoming.tenant,
-                deadline,
+                admission.deadline,
                 incoming.size_hint,
                 incoming.slots,
             )
             self.dispatcher.handle(now, event)
 
+    def _limit_open_time(self, now, request):
+        answer_check = request.answer_by - self.settings.scheduling_interval
+        self.batch.call_at(max(answer_check, now + 1), self.fail_unanswered, request)
+
     # Ends.
 
     def client_left(self, now, request, client):
@@ -163,8 +213,8 @@
         request.body = None
         for attempt in request.attempts:
             self.attempts.end_unsent(now, attempt)
-        if not request.open_attempts:
-            self.pending.pop(request.id, None)
+        if not request.open_attempts and self.pending.pop(request.id, None):
+            self.identifiers.release(request.id)
 
     def fail_unanswered(self, now, request):
         """Answers a request with an error if it has no answer when its time is up.
@@ -174,6 +224,8 @@
         """
         if not request.client:
             return
+        if not request.is_claimed:
+            self.metrics.count(RefusalReason.UNDECIDED_ID)
         if self.metrics.count_and_may_log("odd"):
             logger.warning("request not answered in time: errored", event="overslept")
         self.respond(now, request, 500, "errored")
--- /dev/null
+++ b/tests/test_request_identifiers.py
@@ -0,0 +1,349 @@
+"""A request identifier is accepted by one process of a node at a time, also during a hot restart."""
+
+import asyncio
+import random
+from collections import Counter, deque
+
+import pytest
+from emulators import BlockingClient, ExecutorEmulator, until
+from node_harness import NodeHarness
+from test_takeover import record_requests, until_successor_serves
+
+from grebedyke.service.request_identifiers import IdentifierMessenger, Ownership, RequestIdentifiers
+
+STEPS = 4_000
+# Claims that each seed has to grant and to deny, so that it shows something.
+MIN_DECISIONS = 10
+SEEDS = range(20)
+IDENTIFIERS = [b"a", b"b", b"c"]
+
+
+class InMemoryMessenger(IdentifierMessenger):
+    """Queues messages for the predecessor and the successor, in order.
+
+    Attributes:
+        to_predecessor: Calls of the predecessor's handlers that are not delivered yet.
+        to_successor: The same for the successor.
+    """
+
+    def __init__(self):
+        self.to_predecessor = deque()
+        self.to_successor = deque()
+
+    def request_ownership(self):
+        self.to_predecessor.append(("on_ownership_requested",))
+
+    def give_ownership(self, request_ids):
+        self.to_successor.append(("on_ownership", request_ids))
+
+    def claim(self, request_id, number):
+        self.to_successor.append(("on_claim", request_id, number))
+
+    def decide(self, request_id, number, is_granted):
+        self.to_predecessor.append(("on_decision", request_id, number, is_granted))
+
+    def release(self, request_id):
+        self.to_successor.append(("on_release", request_id))
+
+
+class ProcessModel:
+    """A process that accepts and ends requests at random.
+
+    Attributes:
+        open: Whether each registered request is accepted, by identifier.
+        identifiers: Its `RequestIdentifiers`.
+        messenger: Its `InMemoryMessenger`.
+        decisions: Counts the decisions that were received, by whether they granted the claim.
+    """
+
+    def __init__(self, decisions):
+        self.open = {}
+        self.identifiers = RequestIdentifiers(self.open)
+        self.messenger = self.identifiers.messenger = InMemoryMessenger()
+        self.decisions = decisions
+
+    def accept(self, request_id):
+        """Registers a request if its identifier is not known here."""
+        if self.identifiers.is_known(request_id):
+            return
+        self.open[request_id] = False
+        self.identifiers.claim(request_id, lambda is_granted: self.decide(request_id, is_granted))
+
+    def decide(self, request_id, is_granted):
+        """Accepts or drops a registered request."""
+        self.decisions[is_granted] += 1
+        if is_granted:
+            self.open[request_id] = True
+        else:
+            del self.open[request_id]
+
+    def end(self, request_id):
+        """Ends a request, accepted or not."""
+        if self.open.pop(request_id, None) is not None:
+            self.identifiers.release(request_id)
+
+    def accepted(self):
+        """Returns the identifiers of accepted requests."""
+        return {request_id for request_id, is_accepted in self.open.items() if is_accepted}
+
+
+class ProcessChain:
+    """Processes of one node, each the successor of the one before, and the messages between them.
+
+    Attributes:
+        random: The seeded random number generator.
+        processes: The living processes, oldest first.
+        accepted_twice: Identifiers that two processes have accepted at once.
+        decisions: Counts the decisions of all processes.
+    """
+
+    def __init__(self, seed):
+        self.random = random.Random(seed)
+        self.decisions = Counter()
+        self.processes = [ProcessModel(self.decisions)]
+        self.accepted_twice = set()
+
+    def step(self):
+        """Does one thing at random and looks for identifiers that are accepted twice."""
+        process = self.random.choice(self.processes)
+        request_id = self.random.choice(IDENTIFIERS)
+        kind = self.random.random()
+        if kind < 0.3:
+            process.accept(request_id)
+        elif kind < 0.55:
+            process.end(request_id)
+        elif kind < 0.98:
+            self.deliver()
+        elif kind < 0.99:
+            self.start_process()
+        else:
+            self.end_process()
+        accepted = [one for each in self.processes for one in each.accepted()]
+        self.accepted_twice |= {one for one in accepted if accepted.count(one) > 1}
+
+    def deliver(self):
+        """Delivers the oldest message between two random neighbours."""
+        if len(self.processes) < 2:
+            return
+        index = self.random.randrange(len(self.processes) - 1)
+        older, newer = self.processes[index : index + 2]
+        if self.random.random() < 0.5:
+            receiver, queue = newer, older.messenger.to_successor
+        else:
+            receiver, queue = older, newer.messenger.to_predecessor
+        if queue:
+            handler, *arguments = queue.popleft()
+            getattr(receiver.identifiers, handler)(*arguments)
+
+    def deliver_all(self):
+        """Delivers all messages."""
+        while any(each.messenger.to_successor or each.messenger.to_predecessor for each in self.processes):
+            self.deliver()
+
+    def start_process(self):
+        """Starts a successor of the newest process."""
+        if len(self.processes) < 3:
+            successor = ProcessModel(self.decisions)
+            successor.identifiers.request_ownership()
+            self.processes.append(successor)
+
+    def end_process(self):
+        """Ends the oldest or the newest process, with its requests and the messages on their way."""
+        if len(self.processes) < 2:
+            return
+        if self.random.random() < 0.5:
+            ended = self.processes.pop(0)
+            self.processes[0].messenger.to_predecessor.clear()
+            ended.open.clear()
+            self.processes[0].identifiers.on_predecessor_end()
+        else:
+            ended = self.processes.pop()
+            self.processes[-1].messenger.to_successor.clear()
+            ended.open.clear()
+            self.processes[-1].identifiers.on_successor_end()
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_identifier_is_accepted_by_two_processes_at_once(seed):
+    """Processes of a hot restart accept the same identifier while messages are late or a process ends."""
+    chain = ProcessChain(seed)
+    for _ in range(STEPS):
+        chain.step()
+        assert not chain.accepted_twice
+    chain.deliver_all()
+    # Once all messages have arrived, nothing waits for a decision, and one process owns the identifiers.
+    assert not any(each.identifiers.claims for each in chain.processes)
+    assert [each.identifiers.ownership for each in chain.processes] == [
+        Ownership.AT_SUCCESSOR for _ in chain.processes[1:]
+    ] + [Ownership.OWN]
+    # Nothing is held for requests that have ended.
+    for process in chain.processes:
+        for request_id in IDENTIFIERS:
+            process.end(request_id)
+    chain.deliver_all()
+    assert not any(each.identifiers.held_by_predecessor for each in chain.processes)
+    assert min(chain.decisions[True], chain.decisions[False]) > MIN_DECISIONS
+
+
+class UpgradedNode:
+    """Two processes of one node that serve at the same time, and an executor.
+
+    Attributes:
+        folder: The folder of the hot restart's socket.
+        executor: The `ExecutorEmulator`.
+        old: The predecessor's `NodeHarness`.
+        new: The successor's `NodeHarness`.
+    """
+
+    def __init__(self, folder):
+        self.folder = str(folder)
+
+    async def __aenter__(self):
+        self.executor = await ExecutorEmulator().start()
+        self.old = NodeHarness(self.executor.row(), folder=self.folder)
+        await self.old.__aenter__()
+        self.new = NodeHarness(self.executor.row(), folder=self.folder, listen="%s:%d" % self.old.address)
+        return self
+
+    async def start_successor(self):
+        """Starts the successor; from then on it accepts all new connections."""
+        await self.new.__aenter__()
+        await until_successor_serves(self.old)
+        self.old.listener.stop_accepting()
+
+    def open_request(self, request_id):
+        """Opens a connection and sends a request on it."""
+        return BlockingClient(self.old.address).send_request(request_id)
+
+    async def until_received(self, *request_ids):
+        """Waits until the executor has received exactly these requests."""
+        received = [request_id.encode() for request_id in request_ids]
+        await until(lambda: self.executor.received == received, f"the attempts of {request_ids}")
+
+    async def __aexit__(self, *error):
+        # The successor first: the predecessor's end is part of its work.
+        self.old.node.stop()
+        await asyncio.wait_for(self.old.serving, 10)
+        await self.new.__aexit__(*error)
+        self.executor.server.close()
+
+
+def test_identifier_that_is_open_in_the_predecessor_is_refused_by_the_successor(tmp_path):
+    """During an upgrade, a client sends the identifier of another client's open request.
+
+    Both were served, and the first client got 500 for work that was done (review, case 9).
+    """
+
+    async def scenario():
+        async with UpgradedNode(tmp_path) as node:
+            first = node.open_request("r1")
+            await node.until_received("r1")
+            await node.start_successor()
+            second = node.open_request("r1")
+            assert b" 409 " in await second.response()
+            second.leave()
+            # The call-back reaches the successor.
+            await node.new.finish(first)
+            # The identifier is free again.
+            third = node.open_request("r1")
+            await node.until_received("r1", "r1")
+            await node.new.finish(third)
+
+    asyncio.run(scenario())
+
+
+def test_two_processes_that_get_one_identifier_at_once_accept_one(tmp_path):
+    """Requests with one identifier are read by both processes in the same instant."""
+
+    async def scenario():
+        async with UpgradedNode(tmp_path) as node:
+            at_old = BlockingClient(node.old.address)
+            await until(lambda: node.old.listener.connections.accepted, "the connection at the predecessor")
+            await node.start_successor()
+            at_new = BlockingClient(node.old.address)
+            await until(lambda: node.new.listener.connections.accepted, "the connection at the successor")
+            at_old.send_request("r1")
+            at_new.send_request("r1")
+            await node.until_received("r1")
+            assert b" 409 " in await at_old.response()
+            await node.new.finish(at_new)
+            at_old.leave()
+
+    asyncio.run(scenario())
+
+
+def test_predecessor_claims_identifiers_at_the_successor(tmp_path):
+    """A client's connection is still at the predecessor when the successor accepts the same identifier."""
+
+    async def scenario():
+        async with UpgradedNode(tmp_path) as node:
+            kept = BlockingClient(node.old.address)
+            await until(lambda: node.old.listener.connections.accepted, "the connection at the predecessor")
+            await node.start_successor()
+            first = node.open_request("r1")
+            await node.until_received("r1")
+            kept.send_request("r1")
+            assert b" 409 " in await kept.response()
+            kept.send_request("r2")
+            await node.until_received("r1", "r2")
+            second = node.open_request("r2")
+            assert b" 409 " in await second.response()
+            second.leave()
+            await node.new.finish(first)
+            await node.new.finish(kept, "r2")
+
+    asyncio.run(scenario())
+
+
+def test_requests_wait_for_a_predecessor_that_does_not_say_what_it_holds(tmp_path, monkeypatch):
+    """The predecessor stands still when its successor asks for its identifiers.
+
+    The successor assumes that any identifier may be open there: it sends nothing until it knows.
+    """
+    monkeypatch.setattr("grebedyke.service.identifier_channel.OWNERSHIP_TIMEOUT_S", 0.05)
+
+    async def scenario():
+        async with UpgradedNode(tmp_path) as node:
+            first = node.open_request("r1")
+            await node.until_received("r1")
+            held_back = []
+            messenger = node.old.host.requests.identifiers.messenger
+            give_ownership = messenger.give_ownership
+            messenger.give_ownership = held_back.append
+            await node.start_successor()
+            accepted = record_requests(node.new.listener)
+            second = node.open_request("r1")
+            third = node.open_request("r2")
+            short = BlockingClient(node.old.address).send_request("r3", timeout_ms=100)
+            await until(lambda: len(accepted) == 3, "the requests at the successor")
+            assert b" 500 " in await short.response()
+            assert node.executor.received == [b"r1"]
+            await until(lambda: held_back, "the successor's question")
+            give_ownership(held_back[0])
+            assert b" 409 " in await second.response()
+            await node.until_received("r1", "r2")
+            await node.new.finish(first)
+            await node.new.finish(third, "r2")
+            for client in (second, short):
+                client.leave()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("executor", ["s-1", "s-2"])
+def test_call_back_of_an_attempt_that_is_not_here_is_passed_on(executor):
+    """A process has a request of a call-back's identifier, but no attempt at its executor."""
+
+    async def scenario():
+        emulator = await ExecutorEmulator().start()
+        passed_on = []
+        async with NodeHarness(emulator.row()) as harness:
+            client = BlockingClient(harness.address).send_request()
+            await until(lambda: emulator.received, "the attempt")
+            harness.host.job_updates.pass_on = passed_on.append
+            await harness.call_back("running", name=executor)
+            await harness.finish(client)
+        emulator.server.close()
+        return [update.executor for update in passed_on]
+
+    assert asyncio.run(scenario()) == ([] if executor == "s-1" else ["s-2"])
