Refuse an identifier whose job may have run when it comes again

While the first job ran, the answer was 409.

Cause: an identifier was known only while its request had an attempt in flight.

Change: if an attempt ended without proof that it never ran, the identifier stays in use for the longest client timeout and a second more. They cross a hot restart in both directions with the ownership of identifiers; of a predecessor that ends without a word, all that it held counts as run.

Why it works: the answer no longer depends on whether the job still runs, only on whether it may have run; refused requests that never ran stay free.

--- a/grebedyke/model/in_flight.py
+++ b/grebedyke/model/in_flight.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from grebedyke.model.outcome import NEVER_RAN
+
 
 class RequestLine(NamedTuple):
     """Parts of a client's HTTP request that are forwarded unchanged to executors.
@@ -30,6 +32,7 @@
         attempts: Its `InFlightAttempt`s in order, including those that have ended.
         open_attempts: Number of attempts that have not ended.
         is_claimed: Whether no other process of this node has a request of this identifier.
+        may_have_run: Whether one of its attempts has ended without proof that its job never ran.
     """
 
     __slots__ = (
@@ -42,6 +45,7 @@
         "attempts",
         "open_attempts",
         "is_claimed",
+        "may_have_run",
     )
 
     def __init__(self, id, client, line, body, answer_by, received_at):
@@ -54,6 +58,7 @@
         self.attempts = []
         self.open_attempts = 0
         self.is_claimed = False
+        self.may_have_run = False
 
 
 class InFlightAttempt:
@@ -103,9 +108,10 @@
         request.open_attempts += 1
         endpoint.open_attempts += 1
 
-    def end(self):
-        """Marks the attempt as ended and updates the counters of its request and its endpoint."""
+    def end(self, outcome):
+        """Marks the attempt as ended and updates its request and the counter of its endpoint."""
         self.is_ended = True
+        self.request.may_have_run = self.request.may_have_run or outcome not in NEVER_RAN
         self.request.open_attempts -= 1
         self.endpoint.open_attempts -= 1
 
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -92,7 +92,7 @@
         partial(_on_sharing_changed, core, peers),
     )
     messages.hot_restart = hot_restart
-    identifier_channel = IdentifierChannel(hot_restart, host.requests.identifiers)
+    identifier_channel = IdentifierChannel(hot_restart, host.requests, core.batch.clock)
     host.job_updates.pass_on = messages.send_job_update
     admin_api = AdminApi(core.batch, None, partial(_set_banned, host, messages), shares.admin_connections)
     return NodeParts(
--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -109,7 +109,7 @@
             free_slots: Number of free slots that the executor reported; None without a report.
         """
         request = attempt.request
-        attempt.end()
+        attempt.end(outcome)
         if attempt.call and not attempt.call.ended:
             self._limit_response_time(now, attempt.call)
         if outcome != Outcome.SUCCEEDED:
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -41,6 +41,7 @@
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
         IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
+        ENDED_IDENTIFIERS: A successor that ends tells which identifiers the predecessor has to refuse.
         CLAIM: The predecessor asks whether it may accept an identifier.
         DECISION: The successor's answer to a claim.
         RELEASE: An identifier that the predecessor has claimed is not in use any more.
@@ -55,6 +56,7 @@
     RELOAD = "reload"
     TAKE_IDENTIFIERS = "take-identifiers"
     IDENTIFIERS = "identifiers"
+    ENDED_IDENTIFIERS = "ended-identifiers"
     CLAIM = "claim"
     DECISION = "decision"
     RELEASE = "release"
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -271,6 +271,7 @@
         parts = self.parts
         parts.listener.close()
         parts.admin_api.close()
+        parts.identifier_channel.close()
         parts.hot_restart.close()
         if self.component_host:
             self.component_host.close()
--- a/grebedyke/service/node_settings.py
+++ b/grebedyke/service/node_settings.py
@@ -130,6 +130,7 @@
         response_timeout=2 * ticks(limits["connectTimeoutMs"]),
         response_margin=RESPONSE_MARGIN_INTERVALS * interval,
         scheduling_interval=interval,
+        identifier_retention=_longest_timeout(settings) + MESSAGE_GRACE,
     )
 
 
--- a/grebedyke/service/request_identifiers.py
+++ b/grebedyke/service/request_identifiers.py
@@ -1,14 +1,17 @@
 """Decides which process of a node may accept a request identifier.
 
+An identifier is in use while its request is open, and for some time afterwards if the job may have run: a
+client that has left and sends its request again must not run the job a second time.
+
 Alone, a process decides by itself. During a hot restart two processes accept requests on one address, and an
-identifier that is open in one of them must not be accepted by the other. So exactly one process owns the
+identifier that is in use in one of them must not be accepted by the other. So exactly one process owns the
 decision at each moment:
 
 1. The successor takes the ownership right before it listens. The predecessor answers with all identifiers
    that it holds, and accepts no further one by itself.
 2. From then on the predecessor claims each identifier at the successor before it admits the request.
-3. When the successor ends, the predecessor is the owner again. When the predecessor ends, what it held is
-   free.
+3. When the successor ends, the predecessor is the owner again. When the predecessor ends, what it held may
+   have run.
 
 A process that has asked for a decision and gets none must assume that the other one holds the identifier: the
 request waits, and ends with an error when its time is up. Its messages are sent in order, so the owner knows
@@ -19,6 +22,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from grebedyke.model.identifier_memory import IdentifierMemory
+
 
 class Ownership(Enum):
     """Who decides about identifiers.
@@ -52,8 +57,13 @@
     def request_ownership(self):
         """Asks the predecessor for the ownership."""
 
-    def give_ownership(self, request_ids):
-        """Answers the successor's request with the identifiers that this process holds."""
+    def give_ownership(self, open_ids, ended_ids):
+        """Answers the successor's request with the identifiers that this process holds.
+
+        Args:
+            open_ids: Those of open requests.
+            ended_ids: Those that are remembered, each with the time until which it is.
+        """
 
     def claim(self, request_id, number):
         """Asks the successor for a decision."""
@@ -61,7 +71,7 @@
     def decide(self, request_id, number, is_granted):
         """Answers a claim of the predecessor."""
 
-    def release(self, request_id):
+    def release(self, request_id, known_until):
         """Tells the successor that an identifier is not open here any more."""
 
 
@@ -72,6 +82,7 @@
         open_here: The identifiers of this process's requests; a container that the request table keeps.
         messenger: The `IdentifierMessenger`.
         ownership: The `Ownership`.
+        memory: The `IdentifierMemory` of ended requests.
         held_by_predecessor: Identifiers that the predecessor holds.
         claims: The `_Claim`s without a decision, by identifier.
     """
@@ -80,6 +91,7 @@
         self.open_here = open_here
         self.messenger = IdentifierMessenger()
         self.ownership = Ownership.OWN
+        self.memory = IdentifierMemory()
         self.held_by_predecessor = set()
         self.claims = {}
         self._last_number = 0
@@ -87,9 +99,13 @@
 
     # Requests of this process.
 
-    def is_known(self, request_id):
+    def is_known(self, now, request_id):
         """Returns whether this process knows that an identifier is in use."""
-        return request_id in self.open_here or request_id in self.held_by_predecessor
+        return (
+            request_id in self.open_here
+            or request_id in self.held_by_predecessor
+            or self.memory.knows(now, request_id)
+        )
 
     def claim(self, request_id, on_decided):
         """Claims an identifier that this process does not know to be in use; `release` ends the claim.
@@ -107,11 +123,20 @@
         if self.ownership is Ownership.AT_SUCCESSOR:
             self.messenger.claim(request_id, self._last_number)
 
-    def release(self, request_id):
-        """Records that a claimed identifier is not in use any more."""
+    def release(self, now, request_id, known_until=None):
+        """Ends the claim of an identifier.
+
+        Args:
+            now: Time in ticks.
+            request_id: The identifier.
+            known_until: Time in ticks until which it stays in use, as its job may have run; None if it
+                provably never ran.
+        """
         self.claims.pop(request_id, None)
+        if known_until is not None:
+            self.memory.remember(now, request_id, known_until)
         if self.ownership is Ownership.AT_SUCCESSOR:
-            self.messenger.release(request_id)
+            self.messenger.release(request_id, known_until)
 
     # The successor's side.
 
@@ -120,16 +145,21 @@
         self.ownership = Ownership.REQUESTED
         self.messenger.request_ownership()
 
-    def on_ownership(self, request_ids):
+    def on_ownership(self, now, open_ids, ended_ids):
         """Takes the ownership, with the identifiers that the predecessor holds."""
-        if self.ownership is not Ownership.REQUESTED:
-            return
-        self.held_by_predecessor.update(request_ids)
-        self._become_owner()
+        self.on_ended_identifiers(now, ended_ids)
+        if self.ownership is Ownership.REQUESTED:
+            self.held_by_predecessor.update(open_ids)
+            self._become_owner(now)
+
+    def on_ended_identifiers(self, now, ended_ids):
+        """Remembers identifiers that the other process remembers, each with the time until which it does."""
+        for request_id, known_until in ended_ids:
+            self.memory.remember(now, request_id, known_until)
 
-    def on_claim(self, request_id, number):
+    def on_claim(self, now, request_id, number):
         """Handles a claim of the predecessor."""
-        if self.is_known(request_id):
+        if self.is_known(now, request_id):
             self.messenger.decide(request_id, number, False)
             return
         self.held_by_predecessor.add(request_id)
@@ -140,18 +170,18 @@
             self.held_by_predecessor.discard(request_id)
         self.messenger.decide(request_id, number, is_granted)
 
-    def on_release(self, request_id):
-        """Handles the end of a request of the predecessor."""
+    def on_release(self, now, request_id, known_until):
+        """Handles the end of a request of the predecessor; see `release`."""
         if request_id in self.held_by_predecessor:
             self.held_by_predecessor.discard(request_id)
-            self.release(request_id)
+            self.release(now, request_id, known_until)
 
-    def on_predecessor_end(self):
-        """Frees what the predecessor held, as it has ended with all its requests."""
+    def on_predecessor_end(self, now, known_until):
+        """Releases what the predecessor held: its jobs may have run, as it did not say how they ended."""
         for request_id in list(self.held_by_predecessor):
-            self.on_release(request_id)
+            self.on_release(now, request_id, known_until)
         if self.ownership is Ownership.REQUESTED:
-            self._become_owner()
+            self._become_owner(now)
 
     # The predecessor's side.
 
@@ -161,7 +191,8 @@
             self._successor_waits = True
             return
         self.ownership = Ownership.AT_SUCCESSOR
-        self.messenger.give_ownership([*self.open_here, *self.held_by_predecessor])
+        open_ids = [*self.open_here, *self.held_by_predecessor]
+        self.messenger.give_ownership(open_ids, self.memory.entries())
 
     def on_decision(self, request_id, number, is_granted):
         """Handles the successor's decision on a claim, unless the claim was released in the meantime."""
@@ -170,18 +201,19 @@
             del self.claims[request_id]
             claim.on_decided(is_granted)
 
-    def on_successor_end(self):
+    def on_successor_end(self, now):
         """Takes the ownership back, as the successor has ended with all its requests."""
         self._successor_waits = False
         if self.ownership is Ownership.AT_SUCCESSOR:
             self.ownership = Ownership.OWN
-            for claim in self._take_claims().values():
-                claim.on_decided(True)
+            for request_id, claim in self._take_claims().items():
+                claim.on_decided(not self.memory.knows(now, request_id))
 
-    def _become_owner(self):
+    def _become_owner(self, now):
         self.ownership = Ownership.OWN
         for request_id, claim in self._take_claims().items():
-            claim.on_decided(request_id not in self.held_by_predecessor)
+            is_free = request_id not in self.held_by_predecessor and not self.memory.knows(now, request_id)
+            claim.on_decided(is_free)
         if self._successor_waits:
             self._successor_waits = False
             self.on_ownership_requested()
--- a/grebedyke/service/request_settings.py
+++ b/grebedyke/service/request_settings.py
@@ -13,6 +13,8 @@
         response_timeout: Ticks in which an executor must answer a probe, a cancel, or an attempt with a 202.
         response_margin: Ticks between the deadline of an answer here and the client's own timeout.
         scheduling_interval: Tolerance for the lateness of a step, in ticks.
+        identifier_retention: Ticks for which the identifier of an ended request stays in use if its job may
+            have run.
     """
 
     max_attempts: int
@@ -21,3 +23,4 @@
     response_timeout: int
     response_margin: int
     scheduling_interval: int
+    identifier_retention: int
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -13,7 +13,7 @@
 from grebedyke.wire.client_connection import ClientConnection
 from grebedyke.wire.request_headers import IncomingRequest
 
-ID_IN_USE = b"this X-Request-ID is under way"
+ID_IN_USE = b"this X-Request-ID is in use or was so a moment ago"
 
 
 class _Admission(NamedTuple):
@@ -69,11 +69,11 @@
             incoming: The `IncomingRequest`.
         """
         request_id = incoming.request_id
-        if self.identifiers.is_known(request_id):
+        now = self.batch.clock()
+        if self.identifiers.is_known(now, request_id):
             self.metrics.count(RefusalReason.DUPLICATE_ID)
             client.respond(409, ID_IN_USE)
             return
-        now = self.batch.clock()
         refusal = self._refusal(now)
         if refusal:
             self.metrics.count(refusal)
@@ -214,7 +214,12 @@
         for attempt in request.attempts:
             self.attempts.end_unsent(now, attempt)
         if not request.open_attempts and self.pending.pop(request.id, None):
-            self.identifiers.release(request.id)
+            known_until = self.known_until(now) if request.may_have_run else None
+            self.identifiers.release(now, request.id, known_until)
+
+    def known_until(self, now):
+        """Returns the time in ticks until which the identifier of a request that ends now stays in use."""
+        return now + self.settings.identifier_retention
 
     def fail_unanswered(self, now, request):
         """Answers a request with an error if it has no answer when its time is up.
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -33,6 +33,7 @@
     response_timeout=5_000,
     response_margin=200,
     scheduling_interval=50,
+    identifier_retention=50_000,
 )
 
 
--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -143,8 +143,11 @@
             await asyncio.sleep(0.02)
 
 
-async def count_successes(cluster, name, count):
-    """Sends `count` requests to a node, one after the other; returns the number of successes."""
+async def count_successes(cluster, name, count, prefix):
+    """Sends `count` requests to a node, one after the other; returns the number of successes.
+
+    Their identifiers have `prefix` in them: no two requests may have the same one.
+    """
     succeeded = 0
     for number in range(count):
         response = await http_messages.call(
@@ -152,7 +155,7 @@
             "POST",
             "/view/k",
             b'{"work_ms": 5}',
-            headers={"X-Request-ID": f"{name}-{number}", "X-Timeout-Ms": 1000},
+            headers={"X-Request-ID": f"{name}-{prefix}-{number}", "X-Timeout-Ms": 1000},
         )
         succeeded += response.status == 200
     return succeeded
@@ -179,9 +182,9 @@
             status = 0
             while status != 200:  # a node that has just started has no endpoint list yet
                 status, _ = await cluster.call("n0", "POST", "/v1/maintenance/plan", plan)
-            before = await count_successes(cluster, "n2", 20)
+            before = await count_successes(cluster, "n2", 20, "before")
             await interrupt_view(cluster, "n2")
-            return before, await count_successes(cluster, "n2", 20)
+            return before, await count_successes(cluster, "n2", 20, "after")
         finally:
             await cluster.close()
 
