Bound the memory and the work that one client connection causes

Callers saw: while one client sent unknown paths, health checks, call-backs of unknown jobs, empty lines or one-byte chunks at full speed, the others' median rose from 8.8 to 21 to 46 ms and the node used a whole core; if the client did not read the answers, memory grew from 28 to 43 MB in 6 s, without end.

Cause: all that a connection's buffer held was handled in one pass (455 answers, 4,096 empty lines), and reading went on while the answers were not taken, which asyncio then keeps in memory.

Change: a message is handled only while the kernel has taken all earlier answers of its connection; what opens no request uses up an allowance of 64 units in 16 ms. When it is used up the bytes wait in the ring buffer and then in the kernel. A request that is accepted refills it. A client that is answered 408 and does not read is cut off a second later.

A client that waits for its answer has read all earlier ones, so nothing changes for it.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -120,6 +120,7 @@
         on_request=host.requests.accept,
         on_job_update=host.job_updates.on_update,
         on_client_left=host.requests.client_left,
+        is_request_known=host.requests.is_request_known,
     )
 
 
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -158,6 +158,10 @@
         answer_check = request.answer_by - self.settings.scheduling_interval
         self.batch.call_at(max(answer_check, now + 1), self.fail_unanswered, request)
 
+    def is_request_known(self, request_id):
+        """Returns whether an identifier, as text, is that of a request of this node."""
+        return self.identifiers.is_known(self.batch.clock(), request_id.encode())
+
     # Ends.
 
     def client_left(self, now, request, client):
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -7,6 +7,7 @@
 from grebedyke.wire.connection import Connection
 from grebedyke.wire.http_messages import CONTINUE_RESPONSE, response_head
 from grebedyke.wire.request_headers import UNIQUE_REQUEST_HEADERS
+from grebedyke.wire.work_allowance import WorkAllowance
 
 # Shared buffer for data that a client sends after an open request; the data is read and discarded.
 DISCARD_BUFFER = memoryview(bytearray(1 << 18))
@@ -24,7 +25,8 @@
 class ClientConnection(Connection):
     """A connection accepted by the client listener; it handles one request at a time.
 
-    Bytes that arrive while a request is open are parsed only after its response is written.
+    Bytes that arrive while a request is open are parsed only after its response is written. Messages that are
+    answered at once are handled only while the client reads the responses, and within a `WorkAllowance`.
 
     Attributes:
         listener: The `ClientListener`.
@@ -38,6 +40,7 @@
         overflowed: Whether the client sent more after an open request than the ring buffer holds.
         bytes_discarded: Bytes discarded since reading last paused.
         pipelined_bytes: Bytes sent after open requests and discarded.
+        allowance: The `WorkAllowance`.
     """
 
     def __init__(self, listener):
@@ -52,6 +55,8 @@
         self.overflowed = False
         self.bytes_discarded = 0
         self.pipelined_bytes = 0
+        self.allowance = WorkAllowance(listener.batch.clock)
+        self._waits_for_allowance = False
 
     def connection_made(self, transport):
         """Called by asyncio when the connection is established."""
@@ -110,12 +115,14 @@
 
     def _handle_messages(self):
         try:
-            while self.open_request is None and not self.closes_when_flushed:
-                request = self.parser.next_message()
-                if request is None:
+            while self._can_handle_message():
+                request = self.parser.next_message(max_steps=self.allowance.left)
+                self.allowance.charge(self.parser.steps_taken)
+                if request is not None:
+                    self.keep_alive = self.parser.keep_alive
+                    self.listener.handle(self, request)
+                elif self.allowance.left > 0:
                     break
-                self.keep_alive = self.parser.keep_alive
-                self.listener.handle(self, request)
         except HttpProtocolError as problem:
             self.half_closes = True
             self.ring.skip(self.ring.used)
@@ -127,6 +134,30 @@
                 logger.exception("client connection: error while handling a message", event="client-fault")
             self.respond(500, close=True)
 
+    def _can_handle_message(self):
+        """Returns whether a further message may be handled now; otherwise its bytes wait."""
+        if self.open_request is not None or self.closes_when_flushed or not self.fully_written:
+            return False
+        wait = self.allowance.wait_time()
+        if wait and not self._waits_for_allowance:
+            self._waits_for_allowance = True
+            self.listener.batch.call_later(wait, self._continue_after_wait)
+        return not wait
+
+    def _continue_after_wait(self, now):
+        self._waits_for_allowance = False
+        self._continue_input()
+
+    def _continue_input(self):
+        if not self.is_closed() and self.parser.has_partial_message():
+            self.process_input()
+            self.resume_if_free()
+
+    def resume_writing(self):
+        """Called by asyncio when the kernel has accepted all written bytes."""
+        super().resume_writing()
+        self._continue_input()
+
     def _overflow(self):
         """Discards data that follows an open request; the connection is closed after the response.
 
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -6,9 +6,10 @@
 from loguru import logger
 
 from grebedyke.units import TICKS_PER_MILLISECOND
-from grebedyke.wire.client_connection import ClientConnection
+from grebedyke.wire.client_connection import LINGER_TIME, ClientConnection
 from grebedyke.wire.connection_table import UNREAD_GRACE_TIME, ConnectionTable
 from grebedyke.wire.request_headers import OperationTimeouts, parse_incoming_request, parse_job_update
+from grebedyke.wire.work_allowance import CALL_BACK_UNITS, IMMEDIATE_RESPONSE_UNITS
 
 CALL_BACK_PATH = b"/_jobs/news"
 HEALTH_PATH = b"/up"
@@ -44,6 +45,7 @@
         on_job_update: Queued for the next batch; called with the time and a `JobUpdate`.
         on_client_left: Queued for the next batch; called with the time, the open request and its connection
             when the client leaves before the response.
+        is_request_known: Returns whether an identifier, as text, is one of this node's requests.
         server: The listening socket, None while this process accepts no connections.
         has_listened: Whether `listen` has succeeded at least once.
         stopping: Whether the node is shutting down; the health check then fails.
@@ -51,7 +53,9 @@
         transfer: Called with an idle connection to hand it to the successor; None without a successor.
     """
 
-    def __init__(self, batch, settings, limits, *, on_request, on_job_update, on_client_left):
+    def __init__(
+        self, batch, settings, limits, *, on_request, on_job_update, on_client_left, is_request_known
+    ):
         self.batch = batch
         self.settings = settings
         self.timeouts = OperationTimeouts(settings.client_timeouts)
@@ -59,6 +63,7 @@
         self.on_request = on_request
         self.on_job_update = on_job_update
         self.on_client_left = on_client_left
+        self.is_request_known = is_request_known
         self.server = None
         self.has_listened = False
         self.stopping = False
@@ -184,6 +189,8 @@
         """
         for connection in self.connections.overdue(now, self.settings.message_timeout):
             connection.respond(408, close=True)
+            # A client that does not read would keep the connection for ever.
+            self.batch.call_later(LINGER_TIME, lambda now, late=connection: late.abort())
         self.batch.call_at(now + TIMEOUT_CHECK_INTERVAL, self.close_overdue)
 
     def handle(self, connection, request):
@@ -192,6 +199,7 @@
         Raises:
             HttpProtocolError: The headers of a client's request are invalid.
         """
+        connection.allowance.charge(IMMEDIATE_RESPONSE_UNITS)
         path = request.target.partition(b"?")[0]
         operation = self.timeouts.operation_name(path[1:].partition(b"/")[0])
         if path == CALL_BACK_PATH:
@@ -225,6 +233,8 @@
             if self.batch.metrics.count_and_may_log("odd"):
                 logger.warning("invalid call-back: {why}", event="call-back-odd", why=repr(problem))
             return
+        if self.is_request_known(update.request_id):
+            connection.allowance.refund(IMMEDIATE_RESPONSE_UNITS - CALL_BACK_UNITS)
         self.batch.enqueue(self.on_job_update, update)
 
     def _handle_request(self, connection, operation, request):
@@ -238,6 +248,8 @@
         self.connections.request_started(connection)
         self.on_request(connection, incoming)
         connection.awaits_first_request = False
+        if connection.open_request is not None:
+            connection.allowance.refill()
 
     # Shutting down.
 
--- a/grebedyke/wire/http_parser.py
+++ b/grebedyke/wire/http_parser.py
@@ -50,6 +50,7 @@
         expects_continue: Whether the peer waits for a 100 response before it sends the body.
         headers: Headers of the current message.
         body: Bytes of the current body received so far, without framing.
+        steps_taken: Number of steps of the last call of `next_message`.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "expects_continue",
         "headers",
         "body",
+        "steps_taken",
         "_method",
         "_target",
         "_status",
@@ -79,6 +81,7 @@
         self.expects_continue = False
         self.headers = {}
         self.body = b""
+        self.steps_taken = 0
         self._method = b""
         self._target = b""
         self._status = 0
@@ -89,14 +92,19 @@
         """Returns whether a message has started and is incomplete."""
         return self.ring.used > 0 or self.state is not ParserState.HEAD
 
-    def next_message(self):
+    def next_message(self, max_steps=None):
         """Returns the next `HttpRequest` or `HttpResponse`, None while it is incomplete.
 
+        Args:
+            max_steps: Number of steps after which it also returns None; the next call continues there.
+
         Raises:
             HttpProtocolError: The received bytes are not a valid message, or exceed a limit.
         """
+        self.steps_taken = 0
         result = StepResult.CONTINUE
-        while result is StepResult.CONTINUE:
+        while result is StepResult.CONTINUE and self.steps_taken != max_steps:
+            self.steps_taken += 1
             result = STATE_HANDLERS[self.state](self)
         return self._take_message() if result is StepResult.MESSAGE_COMPLETE else None
 
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -208,6 +208,7 @@
             ConnectionLimits(max_connections, max_client_connections),
             on_request=self.host.requests.accept,
             on_job_update=self.host.job_updates.on_update,
+            is_request_known=self.host.requests.is_request_known,
             on_client_left=self.host.requests.client_left,
         )
         self.batch.next_action = self.dispatcher.next_action
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -229,10 +229,10 @@
 
 
 def test_half_close_by_non_reading_client_counts_as_leaving():
-    """A client with an open request closes its sending side, and does not read an earlier response.
+    """A client with an open request closes its sending side, and does not read what was written to it.
 
-    The connection is closed only after that response is written. If the EOF were ignored until then, the
-    request would be sent to an executor.
+    The connection is closed only after that is written. If the EOF were ignored until then, the request would
+    be sent to an executor.
     """
 
     async def scenario():
@@ -245,9 +245,9 @@
             transport = next(iter(harness.listener.connections.accepted)).transport
             node_socket = transport.get_extra_info("socket")
             node_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER)
-            transport.write(b"x" * 900_000)  # not read by the client
             client.send_request()
             await until_connecting(harness)
+            transport.write(b"x" * 900_000)  # not read by the client
             client.socket.shutdown(socket.SHUT_WR)
             replied = []
             harness.host.requests.respond = lambda now, open_request, *what: replied.append(open_request.id)
