Bound the memory of all clients' messages by limits.memory_mb

A process over its memory limit is killed.

Cause: a connection's message was bounded, the sum was not; limits.memory_mb was read by nothing. A header field takes some 150 bytes besides its own, so a head of 8 kB could take over 100 kB.

Change: at most 100 header lines (431 beyond). Incomplete messages and bodies of open requests of a process hold at most an eighth of limits.memory_mb together, as two processes share the limit in a hot restart. Beyond it incomplete messages are answered 503, those of unproven connections first, then the oldest; accepted requests stay, and a new one is answered 503 if only such are left. Count no_memory and a log line.

--- a/grebedyke/model/refusal.py
+++ b/grebedyke/model/refusal.py
@@ -21,6 +21,7 @@
         TABLE_FULL: The request table is full; the request was not accepted.
         SHUTTING_DOWN: The process is shutting down; the request was not accepted.
         DUPLICATE_ID: The request's identifier is in use; answered 409.
+        NO_MEMORY: Clients' messages hold as much memory as they may; the message was not accepted.
         UNDECIDED_ID: The other process of this node did not say in time whether the identifier is in use.
     """
 
@@ -37,4 +38,5 @@
     TABLE_FULL = "table_full"
     SHUTTING_DOWN = "shutting_down"
     DUPLICATE_ID = "duplicate_id"
+    NO_MEMORY = "no_memory"
     UNDECIDED_ID = "undecided_id"
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -20,6 +20,7 @@
 from grebedyke.wire.client_listener import ClientListener
 from grebedyke.wire.discovery_client import DiscoveryClient
 from grebedyke.wire.executor_pool import ExecutorPool
+from grebedyke.wire.message_memory import MessageMemory, max_message_bytes
 from grebedyke.wire.peer_socket import PeerSocket
 
 
@@ -77,7 +78,7 @@
 
 def _assemble_parts(core, configuration, settings, shares):
     host = core.host
-    listener = _client_listener(core, settings, shares)
+    listener = _client_listener(core, settings, shares, configuration["limits"]["memory_mb"])
     discovery = _discovery_client(core, configuration, settings)
     host.discovery = discovery
     peers = PeerSocket(core.loop, core.batch, host.peer_messenger.on_datagram)
@@ -111,12 +112,13 @@
     )
 
 
-def _client_listener(core, settings, shares):
+def _client_listener(core, settings, shares, memory_mb):
     host = core.host
     return ClientListener(
         core.batch,
         settings.listener,
         shares.client_connections,
+        MessageMemory(max_message_bytes(memory_mb)),
         on_request=host.requests.accept,
         on_job_update=host.job_updates.on_update,
         on_client_left=host.requests.client_left,
--- a/grebedyke/service/configuration/node_schema.py
+++ b/grebedyke/service/configuration/node_schema.py
@@ -31,7 +31,9 @@
         Optional("counts", default=5): integer_seconds,
         # Required for hot restarts.
         Optional("folder", default=None): Any(None, str),
-        Optional("limits", default=dict): table({Optional("sockets", default=1024): number(32)}),
+        Optional("limits", default=dict): table(
+            {Optional("sockets", default=1024): number(32), Optional("memory_mb", default=1024): number(1)}
+        ),
         # The addresses of all nodes by number, including this node's. Empty: no datagrams.
         Optional("peers", default=list): [address],
         Optional("known", default=dict): _KNOWN_ENDPOINTS,
--- a/grebedyke/service/configuration/reference_page.py
+++ b/grebedyke/service/configuration/reference_page.py
@@ -12,6 +12,7 @@
     "counts": "interval between log lines of counts",
     "folder": "folder of the hot restart's socket",
     "limits.sockets": "maximum number of file descriptors",
+    "limits.memory_mb": "memory limit of the node's processes together, in MB",
     "peers[]": "addresses of all nodes for datagrams, by number",
     "known.index": "version of the initial endpoint list",
     "endpoints[].name": "name of an executor",
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -46,6 +46,7 @@
         bytes_discarded: Bytes discarded since reading last paused.
         pipelined_bytes: Bytes sent after open requests and discarded.
         allowance: The `WorkAllowance`.
+        body_bytes: Length of the body of the last message.
     """
 
     def __init__(self, listener):
@@ -61,6 +62,7 @@
         self.bytes_discarded = 0
         self.pipelined_bytes = 0
         self.allowance = WorkAllowance(listener.batch.clock)
+        self.body_bytes = 0
         self._waits_for_allowance = False
 
     def connection_made(self, transport):
@@ -112,6 +114,21 @@
             self.parser.expects_continue = False
             self.send(CONTINUE_RESPONSE)
         self.listener.connections.reclassify(self)
+        self.listener.update_memory(self)
+
+    def held_bytes(self):
+        """Returns the memory of the open request's body, or of a message that is incomplete."""
+        if self.closes_when_flushed:
+            return 0
+        return self.parser.partial_message_bytes() if self.open_request is None else self.body_bytes
+
+    def turn_away(self):
+        """Answers an incomplete message with 503 and discards it."""
+        self.half_closes = True
+        self.ring.skip(self.ring.used)
+        self.parser.discard_message()
+        self.respond(503, close=True)
+        self.listener.batch.call_later(LINGER_TIME, lambda now: self.close())
 
     def _is_in_message(self):
         return (
@@ -125,6 +142,7 @@
                 self.allowance.charge(self.parser.steps_taken)
                 if request is not None:
                     self.keep_alive = self.parser.keep_alive
+                    self.body_bytes = len(request.body)
                     self.listener.handle(self, request)
                 elif self.allowance.left > 0:
                     break
@@ -210,6 +228,7 @@
             self.process_input()
         self.resume_if_free()
         self.listener.connections.reclassify(self)
+        self.listener.update_memory(self)
 
     def flush(self):
         """Writes queued data; during a hot restart, hands an idle connection to the successor."""
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from grebedyke.model.refusal import RefusalReason
 from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.client_connection import LINGER_TIME, ClientConnection
 from grebedyke.wire.connection_table import UNREAD_GRACE_TIME, ConnectionTable
@@ -41,6 +42,7 @@
         settings: The current `ListenerSettings`.
         timeouts: The `OperationTimeouts`.
         connections: The `ConnectionTable`.
+        memory: The `MessageMemory`.
         on_request: Called immediately with a `ClientConnection` and its `IncomingRequest`.
         on_job_update: Queued for the next batch; called with the time and a `JobUpdate`.
         on_client_left: Queued for the next batch; called with the time, the open request and its connection
@@ -54,12 +56,22 @@
     """
 
     def __init__(
-        self, batch, settings, limits, *, on_request, on_job_update, on_client_left, is_request_known
+        self,
+        batch,
+        settings,
+        limits,
+        memory,
+        *,
+        on_request,
+        on_job_update,
+        on_client_left,
+        is_request_known,
     ):
         self.batch = batch
         self.settings = settings
         self.timeouts = OperationTimeouts(settings.client_timeouts)
         self.connections = ConnectionTable(batch, limits)
+        self.memory = memory
         self.on_request = on_request
         self.on_job_update = on_job_update
         self.on_client_left = on_client_left
@@ -174,6 +186,7 @@
     def connection_closed(self, connection):
         """Called by a connection after it is closed."""
         self.connections.remove(connection)
+        self.memory.update(connection, 0)
         self.client_left(connection)
 
     def client_left(self, connection):
@@ -182,6 +195,34 @@
             self.batch.enqueue(self.on_client_left, connection.open_request, connection)
             connection.open_request = None
 
+    def update_memory(self, connection):
+        """Records the memory of a connection's message, and turns others away if there is too much."""
+        self.memory.update(connection, connection.held_bytes())
+        if self.memory.is_exceeded():
+            self._free_memory()
+
+    def _free_memory(self):
+        """Turns away incomplete messages, those of unproven connections and the oldest first.
+
+        A request that was accepted is never turned away.
+        """
+        incomplete = [each for each in self.memory.held if each.open_request is None]
+        for connection in sorted(incomplete, key=lambda each: each.proven):
+            if not self.memory.is_exceeded():
+                return
+            self._count_lack_of_memory()
+            connection.turn_away()
+            self.memory.update(connection, 0)
+
+    def _count_lack_of_memory(self):
+        if self.batch.metrics.count_and_may_log(RefusalReason.NO_MEMORY):
+            logger.warning(
+                "clients' messages hold {held} of {limit} kB: a message is answered 503",
+                event="no-memory",
+                held=self.memory.total // 1000,
+                limit=self.memory.max_bytes // 1000,
+            )
+
     def close_overdue(self, now):
         """Answers 408 on connections with an overdue message, and schedules the next check.
 
@@ -245,6 +286,10 @@
             # Throttled, as the request was not sent to an executor; closing without a response would lose it.
             connection.respond(503)
             return
+        if not self.memory.has_room(connection, len(request.body)):
+            self._count_lack_of_memory()
+            connection.respond(503)
+            return
         self.connections.request_started(connection)
         self.on_request(connection, incoming)
         connection.awaits_first_request = False
--- a/grebedyke/wire/http_parser.py
+++ b/grebedyke/wire/http_parser.py
@@ -16,6 +16,9 @@
 MAX_CHUNK_SIZE_DIGITS = 8
 MAX_LENGTH_DIGITS = 18
 MAX_TRAILER_LINES = 64
+MAX_HEADER_LINES = 100
+# Memory of a header besides its bytes.
+BYTES_PER_HEADER = 150
 
 
 class ParserState(IntEnum):
@@ -69,6 +72,7 @@
         "_status",
         "_remaining_bytes",
         "_trailer_lines",
+        "_head_bytes",
     )
 
     def __init__(self, ring, reads_responses=False, max_body_bytes=DEFAULT_MAX_BODY_BYTES, unique_headers=()):
@@ -87,6 +91,11 @@
         self._status = 0
         self._remaining_bytes = 0
         self._trailer_lines = 0
+        self._head_bytes = 0
+
+    def partial_message_bytes(self):
+        """Returns the memory of a message whose body is incomplete, besides the ring buffer."""
+        return 0 if self.state is ParserState.HEAD else self._head_bytes + len(self.body)
 
     def has_partial_message(self):
         """Returns whether a message has started and is incomplete."""
@@ -115,13 +124,17 @@
         """
         return self._take_message() if self.state is ParserState.BODY_UNTIL_CLOSE else None
 
-    def _take_message(self):
-        body = bytes(self.body)
-        headers = self.headers
+    def discard_message(self):
+        """Frees an incomplete message; its connection must not be read further."""
         self.state = ParserState.HEAD
         self.expects_continue = False
         self.headers = {}
         self.body = b""
+
+    def _take_message(self):
+        body = bytes(self.body)
+        headers = self.headers
+        self.discard_message()
         if self.reads_responses:
             return HttpResponse(self._status, headers, body)
         return HttpRequest(self._method, self._target, headers, body)
@@ -140,6 +153,10 @@
             return StepResult.NEED_DATA
         self.ring.skip(end + 4)
         start_line, *header_lines = data[:end].split(b"\r\n")
+        if len(header_lines) > MAX_HEADER_LINES:
+            # Each would take far more memory than its bytes.
+            raise HttpProtocolError(431, "too many header lines")
+        self._head_bytes = end + BYTES_PER_HEADER * len(header_lines)
         version = (
             self._parse_status_line(start_line)
             if self.reads_responses
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -15,6 +15,7 @@
 from grebedyke.wire.endpoint_rows import HEALTHY
 from grebedyke.wire.executor_connection import ExecutorConnection
 from grebedyke.wire.executor_pool import EndpointAddress, ExecutorPool, PoolSettings
+from grebedyke.wire.message_memory import MessageMemory
 
 # Time of the fixed clock, in ticks.
 NOW = 1_000_000
@@ -191,7 +192,13 @@
         connections: The idle connections to s-1 and s-2.
     """
 
-    def __init__(self, max_connections=9, max_executor_connections=9, max_client_connections=99):
+    def __init__(
+        self,
+        max_connections=9,
+        max_executor_connections=9,
+        max_client_connections=99,
+        max_message_bytes=1_000_000,
+    ):
         self.loop = FakeEventLoop()
         self.dispatcher = RecordingDispatcher()
         self.batch = fixed_clock_batch_loop(self.loop)
@@ -206,6 +213,7 @@
             self.batch,
             ListenerSettings({"op": 40_000}, 60_000),
             ConnectionLimits(max_connections, max_client_connections),
+            MessageMemory(max_message_bytes),
             on_request=self.host.requests.accept,
             on_job_update=self.host.job_updates.on_update,
             is_request_known=self.host.requests.is_request_known,
