--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -79,10 +79,16 @@
             self.metrics.count(refusal)
             client.respond(503)
             return
+        admission = self._register(now, client, incoming)
+        self.identifiers.claim(request_id, partial(self._on_claim_decided, admission))
+        if not admission.request.is_claimed:
+            self._limit_open_time(now, admission.request)
+
+    def _register(self, now, client, incoming):
         deadline = now + max(incoming.timeout - self.settings.response_margin, 0)
         read_delay = self.batch.read_delay(now)
         request = PendingRequest(
-            request_id,
+            incoming.request_id,
             client,
             RequestLine(incoming.method, incoming.target, incoming.idempotency_key),
             incoming.body,
@@ -90,15 +96,12 @@
             now,
         )
         client.open_request = request
-        self.pending[request_id] = request
+        self.pending[request.id] = request
         self.metrics.count("taken")
         # The request may have waited in the kernel, or its connection in the accept queue, together with the
         # client's close.
         reads_first = read_delay or client.awaits_first_request
-        admission = _Admission(request, incoming, deadline, client if reads_first else None)
-        self.identifiers.claim(request_id, partial(self._on_claim_decided, admission))
-        if not request.is_claimed:
-            self._limit_open_time(now, request)
+        return _Admission(request, incoming, deadline, client if reads_first else None)
 
     def _on_claim_decided(self, admission, is_granted):
         request = admission.request
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -122,7 +122,7 @@
             return 0
         return self.parser.partial_message_bytes() if self.open_request is None else self.body_bytes
 
-    def turn_away(self):
+    def refuse_incomplete_message(self):
         """Answers an incomplete message with 503 and discards it."""
         self.half_closes = True
         self.ring.skip(self.ring.used)
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -196,22 +196,22 @@
             connection.open_request = None
 
     def update_memory(self, connection):
-        """Records the memory of a connection's message, and turns others away if there is too much."""
+        """Records the memory of a connection's message, and refuses others if there is too much."""
         self.memory.update(connection, connection.held_bytes())
         if self.memory.is_exceeded():
             self._free_memory()
 
     def _free_memory(self):
-        """Turns away incomplete messages, those of unproven connections and the oldest first.
+        """Refuses incomplete messages, those of unproven connections and the oldest first.
 
-        A request that was accepted is never turned away.
+        A request that was accepted is never refused.
         """
         incomplete = [each for each in self.memory.held if each.open_request is None]
         for connection in sorted(incomplete, key=lambda each: each.proven):
             if not self.memory.is_exceeded():
                 return
             self._count_lack_of_memory()
-            connection.turn_away()
+            connection.refuse_incomplete_message()
             self.memory.update(connection, 0)
 
     def _count_lack_of_memory(self):
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -25,7 +25,7 @@
 def test_clients_that_stop_within_a_body_hold_bounded_memory():
     """Hundreds of clients send half of a large request and stop; the process passed its memory limit.
 
-    The oldest messages of unproven connections are turned away, never a request that was accepted.
+    The oldest messages of unproven connections are refused, never a request that was accepted.
     """
     node = crowded_node()
     accepted = node.send_request(large_request(1))
@@ -38,12 +38,12 @@
     ]
     node.run()
     assert node.listener.memory.total <= MAX_BYTES
-    turned_away = [client.transport.written.startswith(b"HTTP/1.1 503 ") for client in clients]
-    assert turned_away == sorted(turned_away, reverse=True) and 20 < sum(turned_away) < CLIENT_COUNT
-    assert node.batch.metrics.counts[RefusalReason.NO_MEMORY] == sum(turned_away)
-    assert not any(client.parser.partial_message_bytes() for client in clients[: sum(turned_away)])
+    refused = [client.transport.written.startswith(b"HTTP/1.1 503 ") for client in clients]
+    assert refused == sorted(refused, reverse=True) and 20 < sum(refused) < CLIENT_COUNT
+    assert node.batch.metrics.counts[RefusalReason.NO_MEMORY] == sum(refused)
+    assert not any(client.parser.partial_message_bytes() for client in clients[: sum(refused)])
     assert accepted.open_request is not None and not proven.transport.written
-    # What is not turned away is served when it is complete.
+    # What is not refused is served when it is complete.
     receive(proven, large_request(2)[BODY_BYTES // 2 :])
     assert proven.open_request is not None
 
