Log what clients send that is refused, why connections end, and the process's memory

A message answered 400, 404, 405, 408, 413, 431 or 505, an accepted or closed connection and the process's memory were in no count.

Now the line `counts` has them: accepted connections, refused messages by status, ends of connections by reason, open connections, timers, memory of messages, resident memory and its peak.

The limits on all connections together move from the listener to ClientAdmission. The fleet log has two new columns; test_each_count_of_a_node_has_a_column names the counts whose sum a column shows.

--- a/grebedyke/fleetlog/totals.py
+++ b/grebedyke/fleetlog/totals.py
@@ -4,7 +4,13 @@
 from typing import NamedTuple
 
 from grebedyke.errors import LogRangeError
-from grebedyke.service.metrics import ACTIVITY_COUNTS, ANSWER_COUNTS, FAILURE_COUNTS, REFUSAL_COUNTS
+from grebedyke.service.metrics import (
+    ACTIVITY_COUNTS,
+    ANSWER_COUNTS,
+    CONNECTION_COUNTS,
+    FAILURE_COUNTS,
+    REFUSAL_COUNTS,
+)
 
 COLUMNS = (
     "nodes",
@@ -13,6 +19,7 @@
     *ACTIVITY_COUNTS,
     *FAILURE_COUNTS.values(),
     *REFUSAL_COUNTS,
+    *CONNECTION_COUNTS,
     "held",
     "out",
     "listed",
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -14,6 +14,7 @@
 from grebedyke.service.metrics import Metrics
 from grebedyke.service.node import Node, NodeParts
 from grebedyke.service.node_settings import descriptor_shares, node_settings, with_capped_interval
+from grebedyke.service.process_memory import BYTES_PER_KB, process_memory
 from grebedyke.service.process_messages import ProcessMessages
 from grebedyke.service.reload import adopt_settings
 from grebedyke.units import TICKS_PER_MILLISECOND
@@ -72,13 +73,13 @@
     host = DispatcherHost(dispatcher, batch, pool, metrics, settings.requests)
     batch.next_action = dispatcher.next_action
     batch.carry_out = host.perform
-    metrics.read_gauges = partial(_read_gauges, batch, dispatcher)
     return _Core(loop, batch, metrics, pool, host)
 
 
 def _assemble_parts(core, configuration, settings, shares):
     host = core.host
     listener = _client_listener(core, settings, shares, configuration["limits"]["memory_mb"])
+    core.metrics.read_gauges = partial(_read_gauges, core.batch, host.dispatcher, listener)
     discovery = _discovery_client(core, configuration, settings)
     host.discovery = discovery
     peers = PeerSocket(core.loop, core.batch, host.peer_messenger.on_datagram)
@@ -139,8 +140,23 @@
     )
 
 
-def _read_gauges(batch, dispatcher):
-    """Returns the current gauges of the state that decisions on requests depend on, for the log."""
+def _read_gauges(batch, dispatcher, listener):
+    """Returns the current gauges for the log: of the state that decisions depend on, and of what is held."""
+    return _decision_gauges(batch, dispatcher) | _holding_gauges(batch, listener)
+
+
+def _holding_gauges(batch, listener):
+    memory = process_memory()
+    return {
+        "connections": len(listener.connections.accepted),
+        "timers": len(batch.timers),
+        "messages_kb": listener.memory.total // BYTES_PER_KB,
+        "memory_kb": memory.resident_kb,
+        "peak_kb": memory.peak_kb,
+    }
+
+
+def _decision_gauges(batch, dispatcher):
     endpoints = dispatcher.endpoints
     healthy = endpoints.healthy
     now = batch.clock()
--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -5,6 +5,7 @@
 from grebedyke.model.events import AttemptEnded
 from grebedyke.model.in_flight import InFlightAttempt
 from grebedyke.model.outcome import Outcome
+from grebedyke.service import request_trace
 from grebedyke.service.attempt_cancellation import AttemptCancellation
 from grebedyke.service.metrics import FAILURE_COUNTS
 from grebedyke.wire.executor_connection import ACCEPTED_STATUS, CallResult, ExecutorMessage, is_rejection
@@ -65,6 +66,7 @@
         self.metrics.count("forwards")
         if attempt.index:
             self.metrics.count("again")
+        request_trace.attempt_sent(attempt)
         message = _attempt_message(request, now + timeout, latest_send)
         attempt.call = endpoint.call(message, partial(self._on_call_end, attempt))
         latest_end = request.answer_by - 2 * self.settings.scheduling_interval
@@ -112,6 +114,7 @@
         """
         request = attempt.request
         attempt.end(outcome)
+        request_trace.attempt_ended(attempt, outcome)
         if attempt.call and not attempt.call.ended:
             self._limit_response_time(now, attempt.call)
         if outcome != Outcome.SUCCEEDED:
--- a/grebedyke/service/metrics.py
+++ b/grebedyke/service/metrics.py
@@ -8,6 +8,7 @@
 from grebedyke.model.outcome import Outcome
 from grebedyke.model.refusal import RefusalReason
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
+from grebedyke.wire.connection_end import ConnectionEnd
 
 # The names of counts and gauges are keys of the log event `counts`; operators' tools depend on them.
 ANSWER_COUNTS = ("succeeded", "throttled", "errored", "left")
@@ -28,6 +29,13 @@
 """Refused requests by reason; requests whose attempt timed out are not included."""
 ERROR_COUNTS = ("crowded", "odd", "faults")
 """Requests rejected for lack of connections, malformed messages, and errors of this program."""
+CONNECTION_COUNTS = ("accepted", "refused")
+"""Connections accepted by the client listener, and messages on them that were no sound requests."""
+REFUSED_STATUSES = (400, 404, 405, 408, 413, 431, 505)
+"""Statuses of the responses to such messages; each has a count, `refused_<status>`."""
+REFUSED_STATUS_COUNTS = tuple(f"refused_{status}" for status in REFUSED_STATUSES)
+END_COUNTS = tuple(ConnectionEnd)
+"""The ends of client connections by reason."""
 
 HISTOGRAM_MAX = 60 * TICKS_PER_SECOND
 SIGNIFICANT_DIGITS = 2
@@ -50,7 +58,18 @@
         self.histograms = {name: HdrHistogram(1, HISTOGRAM_MAX, SIGNIFICANT_DIGITS) for name in names}
         failures = FAILURE_COUNTS.values()
         self.counts = dict.fromkeys(
-            ("taken", *ANSWER_COUNTS, *ACTIVITY_COUNTS, *failures, *REFUSAL_COUNTS, *ERROR_COUNTS), 0
+            (
+                "taken",
+                *ANSWER_COUNTS,
+                *ACTIVITY_COUNTS,
+                *failures,
+                *REFUSAL_COUNTS,
+                *ERROR_COUNTS,
+                *CONNECTION_COUNTS,
+                *REFUSED_STATUS_COUNTS,
+                *END_COUNTS,
+            ),
+            0,
         )
         self.read_gauges: Callable[[], dict] = dict
 
@@ -63,6 +82,11 @@
         self.counts[name] += 1
         return self.counts[name] <= MAX_LINES_PER_INTERVAL
 
+    def count_refused_message(self, status):
+        """Counts a message of a client connection that was answered with one of `REFUSED_STATUSES`."""
+        self.counts["refused"] += 1
+        self.counts[f"refused_{status}"] += 1
+
     def record_wait(self, duration):
         """Records how long a request waited for its final answer, in ticks."""
         self.histograms["wait"].record_value(max(duration, 1))
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -221,6 +221,7 @@
     def _run_every_second(self, now, count):
         self.parts.pool.sweep(now)
         if count % self.configuration["counts"] == 0:
+            self.parts.listener.admission.report()
             self.parts.metrics.report()
         self.parts.batch.call_at(now + TICKS_PER_SECOND, self._run_every_second, count + 1)
 
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -1,6 +1,7 @@
 """Encodes and decodes the messages between two processes of one node."""
 
 from grebedyke.service.hot_restart import MessageKind
+from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.request_headers import JobUpdate
 
 
@@ -80,6 +81,7 @@
                 good=connection.proven,
                 caller=connection.is_executor,
             )
+            connection.end_reason = ConnectionEnd.HANDED_OVER
             connection.abort()  # closes only this process's descriptor; no output is pending
 
     # Receiving; the parameters are the fields of the messages.
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -8,6 +8,7 @@
 from grebedyke.model.events import ClientLeft, RequestArrived
 from grebedyke.model.in_flight import PendingRequest, RequestLine
 from grebedyke.model.refusal import RefusalReason
+from grebedyke.service import request_trace
 from grebedyke.service.request_identifiers import RequestIdentifiers
 from grebedyke.units import TICKS_PER_SECOND
 from grebedyke.wire.client_connection import ClientConnection
@@ -71,19 +72,22 @@
         request_id = incoming.request_id
         now = self.batch.clock()
         if self.identifiers.is_known(now, request_id):
-            self.metrics.count(RefusalReason.DUPLICATE_ID)
-            client.respond(409, ID_IN_USE)
+            self._refuse_at_once(client, request_id, RefusalReason.DUPLICATE_ID, 409, ID_IN_USE)
             return
         refusal = self._refusal(now)
         if refusal:
-            self.metrics.count(refusal)
-            client.respond(503)
+            self._refuse_at_once(client, request_id, refusal, 503)
             return
         admission = self._register(now, client, incoming)
         self.identifiers.claim(request_id, partial(self._on_claim_decided, admission))
         if not admission.request.is_claimed:
             self._limit_open_time(now, admission.request)
 
+    def _refuse_at_once(self, client, request_id, reason, status, body=b""):
+        self.metrics.count(reason)
+        request_trace.request_refused(request_id, client, reason)
+        client.respond(status, body)
+
     def _register(self, now, client, incoming):
         deadline = now + max(incoming.timeout - self.settings.response_margin, 0)
         read_delay = self.batch.read_delay(now)
@@ -98,6 +102,7 @@
         client.open_request = request
         self.pending[request.id] = request
         self.metrics.count("taken")
+        request_trace.request_taken(request, incoming)
         # The request may have waited in the kernel, or its connection in the accept queue, together with the
         # client's close.
         reads_first = read_delay or client.awaits_first_request
@@ -119,7 +124,7 @@
         self.pending.pop(request.id, None)
         if request.client:
             self.metrics.count(RefusalReason.DUPLICATE_ID)
-            self.respond(now, request, 409, "errored", ID_IN_USE)
+            self.respond(now, request, 409, "errored", ID_IN_USE, why=RefusalReason.DUPLICATE_ID)
 
     def _refusal(self, now):
         """Returns the `RefusalReason` if a request cannot be accepted, else None."""
@@ -172,6 +177,7 @@
         if request.client is client:
             request.client = None
             self.metrics.count("left")
+            request_trace.client_left(request)
             self.dispatcher.handle(now, ClientLeft(request.id))
             self.release(now, request)
 
@@ -188,10 +194,10 @@
         request = self.pending.get(request_id)
         if request and request.client:
             self.metrics.count(reason)
-            self.respond(now, request, status, outcome, headers=headers)
+            self.respond(now, request, status, outcome, headers=headers, why=reason)
             self.release(now, request)
 
-    def respond(self, now, request, status, outcome, body=b"", headers=""):
+    def respond(self, now, request, status, outcome, body=b"", headers="", why=None):
         """Queues the final answer of a request whose client is waiting.
 
         Args:
@@ -201,6 +207,7 @@
             outcome: Name of the metrics count to increment.
             body: Body of the response.
             headers: Additional header lines.
+            why: The `RefusalReason` for the trace; None without one.
         """
         client = request.client
         request.client = None
@@ -208,6 +215,7 @@
         client.request_answered()
         self.metrics.count(outcome)
         self.metrics.record_wait(now - request.received_at)
+        request_trace.request_answered(now, request, status, why or outcome)
 
     def release(self, now, request):
         """Frees the body of an answered or abandoned request, and removes it after its last attempt.
--- /dev/null
+++ b/grebedyke/wire/client_admission.py
@@ -0,0 +1,93 @@
+"""Limits what client connections make this node hold, and tells operators what it refused and to whom."""
+
+from loguru import logger
+
+from grebedyke.model.refusal import RefusalReason
+from grebedyke.wire.peer_counts import PeerCounts
+
+# Refused messages of one address between two reports that are worth a log line.
+FLOOD_MESSAGES = 200
+
+
+class ClientAdmission:
+    """The limits on all connections of the client listener together.
+
+    Attributes:
+        metrics: The node's `Metrics`.
+        memory: The `MessageMemory`.
+        refused: The `PeerCounts` of refused messages since the last report.
+    """
+
+    def __init__(self, metrics, memory):
+        self.metrics = metrics
+        self.memory = memory
+        self.refused = PeerCounts()
+
+    # Memory of messages.
+
+    def update_memory(self, connection):
+        """Records the memory of a connection's message, and refuses others if there is too much."""
+        self.memory.update(connection, connection.held_bytes())
+        if self.memory.is_exceeded():
+            self._free_memory()
+
+    def has_room(self, connection, size):
+        """Returns whether a connection's request with a body of `size` bytes may be accepted."""
+        if self.memory.has_room(connection, size):
+            return True
+        self._count_lack_of_memory()
+        return False
+
+    def _free_memory(self):
+        """Refuses incomplete messages, those of unproven connections and the oldest first.
+
+        A request that was accepted is never refused.
+        """
+        incomplete = [each for each in self.memory.held if each.open_request is None]
+        for connection in sorted(incomplete, key=lambda each: each.proven):
+            if not self.memory.is_exceeded():
+                return
+            self._count_lack_of_memory()
+            connection.refuse_incomplete_message()
+            self.memory.update(connection, 0)
+
+    def _count_lack_of_memory(self):
+        if self.metrics.count_and_may_log(RefusalReason.NO_MEMORY):
+            logger.warning(
+                "clients' messages hold {held} of {limit} kB: a message is answered 503",
+                event="no-memory",
+                held=self.memory.total // 1000,
+                limit=self.memory.max_bytes // 1000,
+            )
+
+    # Connections and refused messages.
+
+    def connection_ended(self, connection):
+        """Releases what is held for a connection and counts why it ended."""
+        self.memory.update(connection, 0)
+        self.metrics.count(connection.end_reason)
+        logger.debug(
+            "connection of {peer}: {why}",
+            event="connection-ended",
+            peer=connection.peer_host,
+            why=connection.end_reason.value,
+        )
+
+    def message_refused(self, connection, status):
+        """Counts a message that is answered with an error status, as it is no sound request."""
+        self.metrics.count_refused_message(status)
+        self.refused.add(connection.peer_host)
+
+    def report(self):
+        """Logs the address that sent the most refused messages since the last report, if there were many."""
+        busiest = self.refused.busiest()
+        self.refused.clear()
+        if busiest is None or busiest[1] < FLOOD_MESSAGES:
+            return
+        address, count = busiest
+        logger.warning(
+            "clients of {address} sent {count} messages that were refused",
+            event="flood",
+            address=address,
+            count=count,
+        )
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -7,6 +7,7 @@
 from grebedyke.errors import HttpProtocolError
 from grebedyke.units import TICKS_PER_SECOND
 from grebedyke.wire.connection import Connection
+from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.http_messages import CONTINUE_RESPONSE, response_head
 from grebedyke.wire.request_headers import UNIQUE_REQUEST_HEADERS
 from grebedyke.wire.work_allowance import WorkAllowance
@@ -47,6 +48,8 @@
         pipelined_bytes: Bytes sent after open requests and discarded.
         allowance: The `WorkAllowance`.
         body_bytes: Length of the body of the last message.
+        peer_host: Address of the peer without its port, for the log.
+        end_reason: The `ConnectionEnd`, if the connection ended now.
     """
 
     def __init__(self, listener):
@@ -63,11 +66,16 @@
         self.pipelined_bytes = 0
         self.allowance = WorkAllowance(listener.batch.clock)
         self.body_bytes = 0
+        self.peer_host = "-"
+        self.end_reason = ConnectionEnd.BY_PEER
         self._waits_for_allowance = False
 
     def connection_made(self, transport):
         """Called by asyncio when the connection is established."""
         super().connection_made(transport)
+        peer_address = transport.get_extra_info("peername")
+        if peer_address:
+            self.peer_host = peer_address[0]
         self.listener.connections.add(self)
 
     def connection_lost(self, exc):
@@ -114,7 +122,7 @@
             self.parser.expects_continue = False
             self.send(CONTINUE_RESPONSE)
         self.listener.connections.reclassify(self)
-        self.listener.update_memory(self)
+        self.listener.admission.update_memory(self)
 
     def held_bytes(self):
         """Returns the memory of the open request's body, or of a message that is incomplete."""
@@ -125,6 +133,7 @@
     def refuse_incomplete_message(self):
         """Answers an incomplete message with 503 and discards it."""
         self.half_closes = True
+        self.end_reason = ConnectionEnd.NO_MEMORY
         self.ring.skip(self.ring.used)
         self.parser.discard_message()
         self.respond(503, close=True)
@@ -148,13 +157,15 @@
                     break
         except HttpProtocolError as problem:
             self.half_closes = True
+            self.end_reason = ConnectionEnd.MALFORMED
             self.ring.skip(self.ring.used)
-            self.respond(problem.status, str(problem).encode(), close=True)
+            self.refuse_message(problem.status, str(problem).encode(), close=True)
             self.listener.batch.call_later(LINGER_TIME, lambda now: self.close())
         except Exception:
             # A defect in handling one message must end only its connection, not the others.
             if self.listener.batch.metrics.count_and_may_log("faults"):
                 logger.exception("client connection: error while handling a message", event="client-fault")
+            self.end_reason = ConnectionEnd.FAULT
             self.respond(500, close=True)
 
     def _can_handle_message(self):
@@ -190,6 +201,7 @@
         self.overflowed = True
         self.keep_alive = False
         self.half_closes = True
+        self.end_reason = ConnectionEnd.OVERFLOWED
         self._discarded(self.ring.used)
         self.ring.skip(self.ring.used)
 
@@ -216,8 +228,15 @@
     def respond(self, status, body=b"", headers="", close=False):
         """Queues a response; with `close`, or if the connection cannot stay open, closes it afterwards."""
         close = close or not self.keep_alive or self.over_limit or self.listener.closes_connections
+        if close and self.end_reason is ConnectionEnd.BY_PEER:
+            self.end_reason = ConnectionEnd.DONE
         self.send(response_head(status, len(body), not close, headers), body, close)
 
+    def refuse_message(self, status, body=b"", headers="", close=False):
+        """Answers a message that is no sound request with an error status; see `respond`."""
+        self.listener.admission.message_refused(self, status)
+        self.respond(status, body, headers, close)
+
     def request_answered(self):
         """Called when the response to the open request is queued; processes input received since."""
         self.open_request = None
@@ -228,7 +247,7 @@
             self.process_input()
         self.resume_if_free()
         self.listener.connections.reclassify(self)
-        self.listener.update_memory(self)
+        self.listener.admission.update_memory(self)
 
     def flush(self):
         """Writes queued data; during a hot restart, hands an idle connection to the successor."""
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -5,9 +5,10 @@
 
 from loguru import logger
 
-from grebedyke.model.refusal import RefusalReason
 from grebedyke.units import TICKS_PER_MILLISECOND
+from grebedyke.wire.client_admission import ClientAdmission
 from grebedyke.wire.client_connection import LINGER_TIME, ClientConnection
+from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.connection_table import UNREAD_GRACE_TIME, ConnectionTable
 from grebedyke.wire.request_headers import OperationTimeouts, parse_incoming_request, parse_job_update
 from grebedyke.wire.work_allowance import CALL_BACK_UNITS, IMMEDIATE_RESPONSE_UNITS
@@ -43,6 +44,7 @@
         timeouts: The `OperationTimeouts`.
         connections: The `ConnectionTable`.
         memory: The `MessageMemory`.
+        admission: The `ClientAdmission`.
         on_request: Called immediately with a `ClientConnection` and its `IncomingRequest`.
         on_job_update: Queued for the next batch; called with the time and a `JobUpdate`.
         on_client_left: Queued for the next batch; called with the time, the open request and its connection
@@ -72,6 +74,7 @@
         self.timeouts = OperationTimeouts(settings.client_timeouts)
         self.connections = ConnectionTable(batch, limits)
         self.memory = memory
+        self.admission = ClientAdmission(batch.metrics, memory)
         self.on_request = on_request
         self.on_job_update = on_job_update
         self.on_client_left = on_client_left
@@ -146,6 +149,7 @@
                 return
             sock.setblocking(False)
             self._connections_in_setup += 1
+            self.batch.metrics.count("accepted")
             self._loop.create_task(self._set_up(sock))
 
     async def _set_up(self, sock):
@@ -186,7 +190,7 @@
     def connection_closed(self, connection):
         """Called by a connection after it is closed."""
         self.connections.remove(connection)
-        self.memory.update(connection, 0)
+        self.admission.connection_ended(connection)
         self.client_left(connection)
 
     def client_left(self, connection):
@@ -195,41 +199,14 @@
             self.batch.enqueue(self.on_client_left, connection.open_request, connection)
             connection.open_request = None
 
-    def update_memory(self, connection):
-        """Records the memory of a connection's message, and refuses others if there is too much."""
-        self.memory.update(connection, connection.held_bytes())
-        if self.memory.is_exceeded():
-            self._free_memory()
-
-    def _free_memory(self):
-        """Refuses incomplete messages, those of unproven connections and the oldest first.
-
-        A request that was accepted is never refused.
-        """
-        incomplete = [each for each in self.memory.held if each.open_request is None]
-        for connection in sorted(incomplete, key=lambda each: each.proven):
-            if not self.memory.is_exceeded():
-                return
-            self._count_lack_of_memory()
-            connection.refuse_incomplete_message()
-            self.memory.update(connection, 0)
-
-    def _count_lack_of_memory(self):
-        if self.batch.metrics.count_and_may_log(RefusalReason.NO_MEMORY):
-            logger.warning(
-                "clients' messages hold {held} of {limit} kB: a message is answered 503",
-                event="no-memory",
-                held=self.memory.total // 1000,
-                limit=self.memory.max_bytes // 1000,
-            )
-
     def close_overdue(self, now):
         """Answers 408 on connections with an overdue message, and schedules the next check.
 
         Without this check a silent peer would hold a file descriptor indefinitely.
         """
         for connection in self.connections.overdue(now, self.settings.message_timeout):
-            connection.respond(408, close=True)
+            connection.end_reason = ConnectionEnd.OVERDUE
+            connection.refuse_message(408, close=True)
             # A client that does not read would keep the connection for ever.
             self.batch.call_later(LINGER_TIME, lambda now, late=connection: late.abort())
         self.batch.call_at(now + TIMEOUT_CHECK_INTERVAL, self.close_overdue)
@@ -247,9 +224,9 @@
             connection.is_executor = True
         allowed_method = self._allowed_method(path, operation)
         if allowed_method is None:
-            connection.respond(404)
+            connection.refuse_message(404)
         elif request.method != allowed_method:
-            connection.respond(405, headers=f"Allow: {allowed_method.decode()}\r\n")
+            connection.refuse_message(405, headers=f"Allow: {allowed_method.decode()}\r\n")
         elif path == HEALTH_PATH:
             connection.respond(200 if self.has_listened and not self.stopping else 503)
         elif path == CALL_BACK_PATH:
@@ -286,8 +263,7 @@
             # Throttled, as the request was not sent to an executor; closing without a response would lose it.
             connection.respond(503)
             return
-        if not self.memory.has_room(connection, len(request.body)):
-            self._count_lack_of_memory()
+        if not self.admission.has_room(connection, len(request.body)):
             connection.respond(503)
             return
         self.connections.request_started(connection)
@@ -313,12 +289,14 @@
         """
         self.closes_connections = True
         for connection in self.connections.idle_client_connections():
+            connection.end_reason = ConnectionEnd.SHUTDOWN
             connection.close()
 
     def close(self):
         """Closes all connections and the listening socket."""
         self.stop_accepting()
         for connection in list(self.connections.accepted):
+            connection.end_reason = ConnectionEnd.SHUTDOWN
             connection.close()
 
 
--- a/grebedyke/wire/connection_table.py
+++ b/grebedyke/wire/connection_table.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from grebedyke.units import TICKS_PER_MILLISECOND
+from grebedyke.wire.connection_end import ConnectionEnd
 
 # Extra descriptors for new connections, used until connections that were answered 503 are closed.
 SPARE_CONNECTIONS = 6
@@ -97,7 +98,8 @@
             self.close(connection)
 
     def close(self, connection):
-        """Closes a connection; it remains in `accepted` until asyncio reports the close."""
+        """Closes a connection to make room; it remains in `accepted` until asyncio reports the close."""
+        connection.end_reason = ConnectionEnd.EVICTED
         self._remove_from_groups(connection)
         connection.close()
 
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -70,8 +70,7 @@
         self.socket = QUIET_SOCKET
 
     def get_extra_info(self, name):
-        assert name == "socket"
-        return self.socket
+        return {"socket": self.socket, "peername": ("127.0.0.7", 1)}[name]
 
     def set_write_buffer_limits(self, high):
         assert high == 0
--- a/tests/test_fleetlog.py
+++ b/tests/test_fleetlog.py
@@ -5,7 +5,7 @@
 from grebedyke.commands.main import cli
 from grebedyke.fleetlog.parsing import parse_line
 from grebedyke.fleetlog.totals import COLUMNS, FleetTotals
-from grebedyke.service.metrics import Metrics
+from grebedyke.service.metrics import END_COUNTS, REFUSED_STATUS_COUNTS, Metrics
 
 
 def line(second, node, message, level="INFO"):
@@ -59,7 +59,8 @@
 
 def test_each_count_of_a_node_has_a_column():
     # A count missing from the columns would look like a count of zero.
-    assert {*Metrics().counts} - {*COLUMNS} == {"crowded", "odd", "faults"}
+    shown_in_sum = {*REFUSED_STATUS_COUNTS, *END_COUNTS}
+    assert {*Metrics().counts} - {*COLUMNS} == {"crowded", "odd", "faults", *shown_in_sum}
 
 
 def test_command_reads_folders_and_writes_csv(tmp_path):
