Cancel a connection's and a request's timers at its end: they filled the memory

Callers saw: while one client sent malformed messages on ever new connections, or sound requests under ever new names, the process grew past its memory limit, and others' answers came late.

Cause: timers were never cancelled. A refused message set one of a second that held its connection with 10 kB of buffers; a request set timers up to its deadline that held the request and its attempts. What was held was the rate, which the peer chooses, times that time. Freeing thousands of objects in one batch also stopped the loop (late_ms up to 73, stall_ms up to 53).

Why it works: TimerQueue's timers drop their call and arguments when they are cancelled, and cancelled ones are at most half of the heap. Connections, requests, attempts, calls to executors, probes, cancels, and operators' connections (5 s each) cancel theirs at their end; the dispatcher's wake-up replaces the one before. So what is held is a sum over what is open, not over what has passed.

--- a/grebedyke/model/in_flight.py
+++ b/grebedyke/model/in_flight.py
@@ -33,6 +33,7 @@
         open_attempts: Number of attempts that have not ended.
         is_claimed: Whether no other process of this node has a request of this identifier.
         may_have_run: Whether one of its attempts has ended without proof that its job never ran.
+        timers: The timers set for the client's answer, cancelled when no client waits any more.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "open_attempts",
         "is_claimed",
         "may_have_run",
+        "timers",
     )
 
     def __init__(self, id, client, line, body, answer_by, received_at):
@@ -59,6 +61,16 @@
         self.open_attempts = 0
         self.is_claimed = False
         self.may_have_run = False
+        self.timers = []
+
+    def end_wait(self):
+        """Records that no client waits for the answer any more; returns the one that did."""
+        client = self.client
+        self.client = None
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+        return client
 
 
 class InFlightAttempt:
@@ -75,6 +87,7 @@
         expects_no_call_back: Whether it ended in a way that excludes any later call-back about it.
         has_ambiguous_call_backs: Whether the executor may still call back about an earlier attempt of the
             same request; call-backs do not identify the attempt.
+        timers: The timers set for it, cancelled at its end.
     """
 
     __slots__ = (
@@ -87,6 +100,7 @@
         "is_ended",
         "expects_no_call_back",
         "has_ambiguous_call_backs",
+        "timers",
     )
 
     def __init__(self, request, endpoint):
@@ -98,6 +112,7 @@
         self.has_started = False
         self.is_ended = False
         self.expects_no_call_back = False
+        self.timers = []
         # Compared by name: an executor that left the list and returned is a new endpoint object, but its
         # call-backs are the same.
         self.has_ambiguous_call_backs = any(
@@ -111,6 +126,9 @@
     def end(self, outcome):
         """Marks the attempt as ended and updates its request and the counter of its endpoint."""
         self.is_ended = True
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
         self.request.may_have_run = self.request.may_have_run or outcome not in NEVER_RAN
         self.request.open_attempts -= 1
         self.endpoint.open_attempts -= 1
--- a/grebedyke/service/admin_api.py
+++ b/grebedyke/service/admin_api.py
@@ -27,12 +27,14 @@
     Attributes:
         api: The `AdminApi`.
         has_received_call: Whether its call was received.
+        timer: Aborts the connection if it stays open; cancelled at its end.
     """
 
     def __init__(self, api):
         super().__init__(api.batch.touch, max_body_bytes=api.max_body_bytes)
         self.api = api
         self.has_received_call = False
+        self.timer = None
 
     def connection_made(self, transport):
         """Called by asyncio when the connection is established."""
@@ -41,6 +43,7 @@
 
     def connection_lost(self, exc):
         """Called by asyncio when the connection is closed."""
+        self.timer.cancel()
         self.api.connections.pop(self, None)
 
     def eof_received(self):
@@ -112,7 +115,7 @@
         if len(self.connections) > self.max_connections:
             # Idle connections must not prevent an operator's call from being answered.
             next(iter(self.connections)).abort()
-        self.batch.call_later(CONNECTION_TIMEOUT, self._abort_overdue, connection)
+        connection.timer = self.batch.call_later(CONNECTION_TIMEOUT, self._abort_overdue, connection)
 
     def _abort_overdue(self, now, connection):
         if connection in self.connections:
--- a/grebedyke/service/attempt_cancellation.py
+++ b/grebedyke/service/attempt_cancellation.py
@@ -30,7 +30,8 @@
         if attempt.is_accepted or attempt.call.ended:
             message = ExecutorMessage(b"DELETE", b"/jobs/" + attempt.request.id)
             self.call = attempt.endpoint.call(message, self._on_call_end)
-            self.attempts.batch.call_later(self.attempts.settings.response_timeout, self._on_timeout)
+            timeout = self.attempts.settings.response_timeout
+            self.call.timers.append(self.attempts.batch.call_later(timeout, self._on_timeout))
         else:
             attempt.call.abandon()
             self._end_attempt()
@@ -39,7 +40,8 @@
         was_not_sent = call_end.result is CallResult.UNSENT
         if was_not_sent and self.attempt.is_accepted and not self.attempt.is_ended:
             # The job is still running: no connection could be opened for the cancel.
-            self.attempts.batch.call_later(self.attempts.settings.response_timeout // 2, self._retry)
+            wait = self.attempts.settings.response_timeout // 2
+            self.attempt.timers.append(self.attempts.batch.call_later(wait, self._retry))
         else:
             self._end_attempt()
 
--- a/grebedyke/service/attempt_sender.py
+++ b/grebedyke/service/attempt_sender.py
@@ -70,8 +70,11 @@
         message = _attempt_message(request, now + timeout, latest_send)
         attempt.call = endpoint.call(message, partial(self._on_call_end, attempt))
         latest_end = request.answer_by - 2 * self.settings.scheduling_interval
-        self.batch.call_at(min(now + timeout, latest_end), self.end_overdue, attempt)
-        self.batch.call_at(now + self.settings.response_timeout, self.end_unacknowledged, attempt)
+        self._set_timer(attempt, min(now + timeout, latest_end), self.end_overdue)
+        self._set_timer(attempt, now + self.settings.response_timeout, self.end_unacknowledged)
+
+    def _set_timer(self, attempt, when, call):
+        attempt.timers.append(self.batch.call_at(when, call, attempt))
 
     def _end_never_sent(self, now, attempt):
         self.end(now, attempt, Outcome.NEVER_SENT)
@@ -132,7 +135,7 @@
         because a call-back may arrive before the 202, after which the connection can be used again.
         """
         latest = call.started_at + self.settings.response_timeout
-        self.batch.call_at(max(now + 1, latest), lambda now: call.abandon())
+        call.timers.append(self.batch.call_at(max(now + 1, latest), lambda now: call.abandon()))
 
     def end_unsent(self, now, attempt):
         """Ends an attempt that was not sent completely.
--- a/grebedyke/service/batch_loop.py
+++ b/grebedyke/service/batch_loop.py
@@ -3,10 +3,10 @@
 import time
 from collections import deque
 from functools import partial
-from heapq import heappop, heappush
 
 from loguru import logger
 
+from grebedyke.service.timer_queue import TimerQueue
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 NANOSECONDS_PER_TICK = 100_000
@@ -28,9 +28,9 @@
 class BatchLoop:
     """Runs batches in an asyncio event loop.
 
-    Events that are enqueued during a batch are handled in the next one. All timers are in one heap, which
-    needs one timer of the event loop. Timers are never cancelled: the function that a timer calls checks
-    whether it still applies.
+    Events that are enqueued during a batch are handled in the next one. All timers are in one queue, which
+    needs one timer of the event loop. What sets a timer for an object cancels it at the object's end, as a
+    peer may cause many short-lived objects; the function that a timer calls also checks whether it applies.
 
     Attributes:
         loop: The event loop.
@@ -40,8 +40,7 @@
         before_write: Called with the time right before connections are flushed; may be None.
         events: Functions and their arguments for the next batch.
         touched: Connections with output to flush, as keys.
-        timers: Heap of (time in ticks, number, function, arguments).
-        timer_count: Number of timers set so far; orders timers with equal times.
+        timers: The `TimerQueue`.
         is_scheduled: Whether the next batch is already scheduled.
         loop_timer: The event loop's timer; None if none is set.
         loop_timer_at: When the event loop's timer expires, in ticks.
@@ -59,8 +58,7 @@
         self.before_write = None
         self.events = []
         self.touched = {}
-        self.timers = []
-        self.timer_count = 0
+        self.timers = TimerQueue()
         self.is_scheduled = False
         self.loop_timer = None
         self.loop_timer_at = 0
@@ -132,21 +130,22 @@
             self.loop.call_soon(self.run_batch)
 
     def call_later(self, wait, call, *args):
-        """Calls call(now, *args) in a batch after `wait` ticks."""
-        self.call_at(self.clock() + wait, call, *args)
+        """Calls call(now, *args) in a batch after `wait` ticks; returns the `Timer`."""
+        return self.call_at(self.clock() + wait, call, *args)
 
     def call_at(self, when, call, *args):
-        """Calls call(now, *args) in a batch at the time `when`, in ticks."""
-        self.timer_count += 1
-        heappush(self.timers, (when, self.timer_count, call, args))
-        if not self.is_scheduled and self.timers[0][1] == self.timer_count:
+        """Calls call(now, *args) in a batch at the time `when`, in ticks; returns the `Timer`."""
+        timer = self.timers.add(when, call, *args)
+        if not self.is_scheduled and (self.loop_timer is None or when < self.loop_timer_at):
             self._arm_loop_timer()
+        return timer
 
     def _arm_loop_timer(self):
-        if self.timers and (self.loop_timer is None or self.timers[0][0] != self.loop_timer_at):
+        next_time = self.timers.next_time()
+        if next_time is not None and (self.loop_timer is None or next_time != self.loop_timer_at):
             if self.loop_timer:
                 self.loop_timer.cancel()
-            self.loop_timer_at = self.timers[0][0]
+            self.loop_timer_at = next_time
             self.loop_timer = self.loop.call_at(self.loop_timer_at / TICKS_PER_SECOND, self._loop_timer_fired)
 
     def _loop_timer_fired(self):
@@ -193,9 +192,9 @@
         self.events = []
         for call, args in events:
             self._call_and_log_errors(call, now, *args)
-        while self.timers and self.timers[0][0] <= now:
-            when, _, call, args = heappop(self.timers)
-            self.metrics.record_lateness(now - when)
+        while timer := self.timers.pop_due(now):
+            self.metrics.record_lateness(now - timer.when)
+            call, args = timer.take()
             self._call_and_log_errors(call, now, *args)
 
     def _carry_out_actions(self, now):
--- a/grebedyke/service/dispatcher_host.py
+++ b/grebedyke/service/dispatcher_host.py
@@ -37,6 +37,7 @@
         self.endpoint_updates = EndpointUpdates(dispatcher, pool, self.attempts)
         self.peer_messenger = PeerMessenger(dispatcher)
         self.discovery = None
+        self._wake_timer = None
         self.performers = {
             actions.Forward: self.attempts.send,
             actions.Cancel: self.attempts.cancel,
@@ -59,7 +60,10 @@
         self.performers[type(action)](now, *action)
 
     def _wake_at(self, now, at):
-        self.batch.call_at(at, do_nothing)
+        # The dispatcher states its next time anew at each batch, so only the last one counts.
+        if self._wake_timer:
+            self._wake_timer.cancel()
+        self._wake_timer = self.batch.call_at(at, do_nothing)
 
     def _poll_endpoint_list(self, now):
         self.discovery.poll(now)
--- a/grebedyke/service/graceful_shutdown.py
+++ b/grebedyke/service/graceful_shutdown.py
@@ -50,7 +50,7 @@
         self.requests.shutdown_at = end
         latest_answer = end - self.requests.settings.scheduling_interval
         for request in list(self.requests.pending.values()):
-            self.batch.call_at(latest_answer, self.requests.fail_unanswered, request)
+            self.requests.fail_unanswered_at(latest_answer, request)
         if self.hot_restart.successor_is_ready:
             self.batch.enqueue(self.hand_over, end)
         else:
--- a/grebedyke/service/health_probes.py
+++ b/grebedyke/service/health_probes.py
@@ -56,7 +56,8 @@
         endpoint = probes.pool.endpoint(self.endpoint_id)
         message = ExecutorMessage(b"GET", probes.settings.probe_path)
         self.call = endpoint.call(message, self._on_call_end)
-        probes.batch.call_at(now + probes.settings.response_timeout, self._on_timeout)
+        timeout_at = now + probes.settings.response_timeout
+        self.call.timers.append(probes.batch.call_at(timeout_at, self._on_timeout))
 
     def _on_call_end(self, call_end):
         report = call_end.body or call_end.headers.get(b"x-server-load", b"")
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -164,7 +164,12 @@
 
     def _limit_open_time(self, now, request):
         answer_check = request.answer_by - self.settings.scheduling_interval
-        self.batch.call_at(max(answer_check, now + 1), self.fail_unanswered, request)
+        self.fail_unanswered_at(max(answer_check, now + 1), request)
+
+    def fail_unanswered_at(self, when, request):
+        """Answers a request with an error if it has no answer at the time `when`, in ticks."""
+        if request.client:
+            request.timers.append(self.batch.call_at(when, self.fail_unanswered, request))
 
     def is_request_known(self, request_id):
         """Returns whether an identifier, as text, is that of a request of this node."""
@@ -175,7 +180,7 @@
     def client_left(self, now, request, client):
         """Ends a request whose client has closed its connection, unless it was already answered."""
         if request.client is client:
-            request.client = None
+            request.end_wait()
             self.metrics.count("left")
             request_trace.client_left(request)
             self.dispatcher.handle(now, ClientLeft(request.id))
@@ -209,8 +214,7 @@
             headers: Additional header lines.
             why: The `RefusalReason` for the trace; None without one.
         """
-        client = request.client
-        request.client = None
+        client = request.end_wait()
         client.respond(status, body, headers)
         client.request_answered()
         self.metrics.count(outcome)
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -50,6 +50,8 @@
         body_bytes: Length of the body of the last message.
         peer_host: Address of the peer without its port, for the log.
         end_reason: The `ConnectionEnd`, if the connection ended now.
+        timers: The timers set for this connection, cancelled when it ends.
+        has_ended: Whether asyncio has reported its end.
     """
 
     def __init__(self, listener):
@@ -68,6 +70,8 @@
         self.body_bytes = 0
         self.peer_host = "-"
         self.end_reason = ConnectionEnd.BY_PEER
+        self.timers = []
+        self.has_ended = False
         self._waits_for_allowance = False
 
     def connection_made(self, transport):
@@ -80,6 +84,10 @@
 
     def connection_lost(self, exc):
         """Called by asyncio when the connection is closed."""
+        self.has_ended = True
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
         self.listener.connection_closed(self)
 
     def eof_received(self):
@@ -137,7 +145,7 @@
         self.ring.skip(self.ring.used)
         self.parser.discard_message()
         self.respond(503, close=True)
-        self.listener.batch.call_later(LINGER_TIME, lambda now: self.close())
+        self._call_later(LINGER_TIME, self._close_at)
 
     def _is_in_message(self):
         return (
@@ -160,7 +168,7 @@
             self.end_reason = ConnectionEnd.MALFORMED
             self.ring.skip(self.ring.used)
             self.refuse_message(problem.status, str(problem).encode(), close=True)
-            self.listener.batch.call_later(LINGER_TIME, lambda now: self.close())
+            self._call_later(LINGER_TIME, self._close_at)
         except Exception:
             # A defect in handling one message must end only its connection, not the others.
             if self.listener.batch.metrics.count_and_may_log("faults"):
@@ -175,7 +183,7 @@
         wait = self.allowance.wait_time()
         if wait and not self._waits_for_allowance:
             self._waits_for_allowance = True
-            self.listener.batch.call_later(wait, self._continue_after_wait)
+            self._call_later(wait, self._continue_after_wait)
         return not wait
 
     def _continue_after_wait(self, now):
@@ -215,7 +223,10 @@
         ):
             self.bytes_discarded = 0
             self.transport.pause_reading()
-            self.listener.batch.call_later(DISCARD_PAUSE_TIME, lambda now: self.transport.resume_reading())
+            self._call_later(DISCARD_PAUSE_TIME, self._resume_discarding)
+
+    def _resume_discarding(self, now):
+        self.transport.resume_reading()
 
     def _discard_after_last_response(self):
         self.bytes_discarded += self.ring.used
@@ -242,7 +253,7 @@
         self.open_request = None
         if self.half_closes:
             self.bytes_discarded = 0
-            self.listener.batch.call_later(LINGER_TIME, lambda now: self.close())
+            self._call_later(LINGER_TIME, self._close_at)
         if not self.closes_when_flushed and self.parser.has_partial_message():
             self.process_input()
         self.resume_if_free()
@@ -262,6 +273,23 @@
             self.flush()
         super().close()
 
+    def abort_later(self, wait):
+        """Closes the connection after `wait` ticks, even if the peer has not read what was written."""
+        self._call_later(wait, self._abort_at)
+
+    def _close_at(self, now):
+        self.close()
+
+    def _abort_at(self, now):
+        self.abort()
+
+    def _call_later(self, wait, call):
+        """Sets a timer that ends with the connection."""
+        if self.has_ended:
+            return
+        self.timers = [timer for timer in self.timers if timer.call is not None]
+        self.timers.append(self.listener.batch.call_later(wait, call))
+
     def is_closed(self):
         """Returns whether the connection is closed or closing."""
         return self.transport is None or self.transport.is_closing()
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -208,7 +208,7 @@
             connection.end_reason = ConnectionEnd.OVERDUE
             connection.refuse_message(408, close=True)
             # A client that does not read would keep the connection for ever.
-            self.batch.call_later(LINGER_TIME, lambda now, late=connection: late.abort())
+            connection.abort_later(LINGER_TIME)
         self.batch.call_at(now + TIMEOUT_CHECK_INTERVAL, self.close_overdue)
 
     def handle(self, connection, request):
--- a/grebedyke/wire/executor_connection.py
+++ b/grebedyke/wire/executor_connection.py
@@ -105,6 +105,7 @@
         connection: The connection that sends the message, None before it is chosen.
         connect_task: The task that opens a connection, None if none is being opened.
         ended: Whether the end was reported or the call was abandoned.
+        timers: The timers set for it, cancelled at its end.
     """
 
     __slots__ = (
@@ -119,6 +120,7 @@
         "connection",
         "connect_task",
         "ended",
+        "timers",
     )
 
     def __init__(self, endpoint, message, on_end):
@@ -133,13 +135,13 @@
         self.connection = None
         self.connect_task = None
         self.ended = False
+        self.timers = []
 
     def end(self, result, response=None):
         """Reports the end once, with the `HttpResponse` or None."""
         if self.ended:
             return
-        self.ended = True
-        self.message = None
+        self._release()
         if response is None:
             self.on_end(CallEnd(result, 0, {}, b""))
         else:
@@ -153,8 +155,7 @@
         """Abandons the call without reporting an end; without a response yet, aborts its connection."""
         if self.ended:
             return
-        self.ended = True
-        self.message = None
+        self._release()
         self._stop_sending()
 
     def expire(self, now):
@@ -164,6 +165,13 @@
         self.end(CallResult.EXPIRED)
         self._stop_sending()
 
+    def _release(self):
+        self.ended = True
+        self.message = None
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+
     def _stop_sending(self):
         if self.connect_task:
             self.connect_task.cancel()
--- a/grebedyke/wire/executor_pool.py
+++ b/grebedyke/wire/executor_pool.py
@@ -103,7 +103,7 @@
         """
         call = ExecutorCall(self, message, on_end)
         if message.latest_send is not None:
-            self.pool.batch.call_at(message.latest_send + 1, call.expire)
+            call.timers.append(self.pool.batch.call_at(message.latest_send + 1, call.expire))
         connection = self._take_idle_connection(call.started_at, call.is_attempt)
         if connection:
             connection.send_call(call)
@@ -138,7 +138,8 @@
         call.connect_task = pool.loop.create_task(self._connect(call))
         call.connect_task.add_done_callback(pool.connect_finished)
         # Far shorter than an attempt's timeout: a connect to a machine that disappeared never completes.
-        pool.batch.call_later(pool.settings.connect_timeout, self._connect_timed_out, call)
+        timeout = pool.settings.connect_timeout
+        call.timers.append(pool.batch.call_later(timeout, self._connect_timed_out, call))
 
     async def _connect(self, call):
         address, _ = call.incarnation
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -95,10 +95,10 @@
     assert [connection.transport.closing for connection in incomplete] == [True, False, False]
     # An incomplete call whose peer closes, and one that is never closed.
     assert not incomplete[1].eof_received()
-    for when, _, call, arguments in harness.node.batch.timers:
-        assert when == NOW + CONNECTION_TIMEOUT
-        if arguments[0] is incomplete[2]:
-            call(when, *arguments)
+    for timer in list(harness.node.batch.timers):
+        assert timer.when == NOW + CONNECTION_TIMEOUT
+        if timer.arguments[0] is incomplete[2]:
+            timer.call(timer.when, *timer.arguments)
     assert incomplete[2].transport.closing
     # A caller that closes its sending side after a complete call still gets the answer.
     connection = harness.connect(executor_call(b"s-1/suspend"))
--- a/tests/test_client_listener.py
+++ b/tests/test_client_listener.py
@@ -40,8 +40,8 @@
     assert client.transport.written.startswith(b"HTTP/1.1 413") and not client.transport.closing
     receive(client, b"x" * 70_000, 999)
     assert client.transport.written.count(b"HTTP/1.1") == 1 and not client.ring.used
-    _, _, call, arguments = node.batch.timers[0]
-    call(0, *arguments)
+    (timer,) = node.batch.timers
+    timer.call(timer.when, *timer.arguments)
     assert client.transport.closing
 
 
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -65,7 +65,7 @@
 
 def fire_next_poll(client):
     """Fires the timer of the client's next poll."""
-    next(call for _, _, call, _ in client.batch.timers if call == client.poll)(0)
+    next(timer.call for timer in client.batch.timers if timer.call == client.poll)(0)
     client.loop.run_ready()
 
 
@@ -146,7 +146,7 @@
             client.connection.connection_lost(None)
         client.loop.run_ready()
         assert not client.polling and client.connection is None
-        planned = [timer for timer in client.batch.timers if timer[2] == client.poll]
+        planned = [timer for timer in client.batch.timers if timer.call == client.poll]
         assert len(planned) == 1  # the client continues polling by itself
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -18,6 +18,21 @@
 CANCEL_CONFIRMED = b"HTTP/1.1 204 x\r\n\r\n"
 
 
+def calls_of_timers(node, call=None, name=None):
+    """Returns the calls of the timers that are set now, to be made later even if the timers are cancelled.
+
+    Args:
+        node: The `SocketlessNode`.
+        call: Only timers with this call; None for all.
+        name: Only timers whose call has this name; None for all.
+    """
+    return [
+        lambda now, timer_call=timer.call, arguments=timer.arguments: timer_call(now, *arguments)
+        for timer in node.batch.timers
+        if call in (None, timer.call) and name in (None, timer.call.__name__)
+    ]
+
+
 def refusal(status, never_ran):
     """Returns a refusal by an executor; with `never_ran` it states that the job never ran."""
     mark = b"X-Not-Processed: 1\r\n" if never_ran else b""
@@ -217,14 +232,13 @@
         node.send_request()
         connection = node.connections[0]
         node.forward()
+        limits = calls_of_timers(node, node.host.attempts.end_unacknowledged)
         if answer:
             receive(node.client() if answer.startswith(b"POST") else connection, answer)
             node.run()
         other = node.connect_executor()
-        for _, _, call, arguments in [
-            limit for limit in node.batch.timers if limit[2] == node.host.attempts.end_unacknowledged
-        ]:
-            call(NOW + 5_000, *arguments)
+        for limit in limits:
+            limit(NOW + 5_000)
         node.run()
         # A retry before the executor has confirmed the cancel could run as a second copy.
         assert not node.outcomes()
@@ -247,10 +261,8 @@
         node.host.requests.shutdown_at = latest
         client = node.send_request()
         node.forward(allowed=39_000 if latest else 9_000)
-        when, _, call, arguments = next(
-            limit for limit in node.batch.timers if limit[2] == node.host.attempts.end_overdue
-        )
-        call(when, *arguments)
+        timer = next(timer for timer in node.batch.timers if timer.call == node.host.attempts.end_overdue)
+        timer.call(timer.when, *timer.arguments)
         node.run()
         assert [type(event) for event in node.dispatcher.events[1:]] == expected
         _, _, _, request_closed = node.attempt_ends()[0]
@@ -276,15 +288,14 @@
         node.run()
         node.act(Cancel(b"r1", 0))
         assert not node.outcomes() and b"DELETE /jobs/r1 " in connection.transport.written
+        (confirmation_timeout,) = calls_of_timers(node, name="_on_timeout")
         if ended:
             receive(node.client(), call_back_message("done"))
         if confirmed:
             receive(connection, CANCEL_CONFIRMED)
         node.run()
         assert node.outcomes() == outcomes
-        # The timeout of the confirmation was set last.
-        _, _, call, arguments = max(node.batch.timers, key=lambda limit: limit[1])
-        call(0, *arguments)
+        confirmation_timeout(0)
         node.run()
         assert node.outcomes() == (outcomes or [Outcome.CANCELLED])
 
@@ -345,8 +356,7 @@
         node.run()
         node.forward(allowed=39_000)
         due = client.open_request.answer_by
-        node.batch.timers.sort()
-        limits = [(when, call.__name__) for when, _, call, _ in node.batch.timers]
+        limits = [(timer.when, timer.call.__name__) for timer in node.batch.timers]
         assert (due - 50, "fail_unanswered") in limits
         assert any(name == "end_overdue" and when < due - 50 for when, name in limits)
         assert node.dispatcher.events[0].deadline == NOW + 39_800
@@ -388,8 +398,10 @@
     ):
         node = SocketlessNode()
         node.act(Probe("s-1"))
+        limits = calls_of_timers(node)
+        assert limits
         receive(node.connections[0], response)
         node.run()
-        for _, _, call, arguments in list(node.batch.timers):
-            call(0, *arguments)
+        for limit in limits:
+            limit(0)
         assert node.dispatcher.events == [event] and isinstance(node.dispatcher.events[0], ProbeEnded)
