Answer what is no request at a steady pace, over all connections together

Callers saw: while one client sent malformed messages or health checks on ever new connections, or many connections did so together, the node took a whole core, and others waited the longer the slower the machine.

Cause: the allowance of last time is one connection's. A refused message ends its connection, so a client that reconnects has a new allowance each time, and accepting, setting up and closing were charged to nobody. Fifty kept connections had fifty allowances.

A client that waits for the answer is slowed down. Requests, their refusals and call-backs about this node's requests never wait. A connection that ends while it waits is forgotten; one that waits is neither read into memory, handed over nor answered a second time.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -14,7 +14,7 @@
 from grebedyke.service.metrics import Metrics
 from grebedyke.service.node import Node, NodeParts
 from grebedyke.service.node_settings import descriptor_shares, node_settings, with_capped_interval
-from grebedyke.service.process_memory import BYTES_PER_KB, process_memory
+from grebedyke.service.process_memory import process_memory
 from grebedyke.service.process_messages import ProcessMessages
 from grebedyke.service.reload import adopt_settings
 from grebedyke.units import TICKS_PER_MILLISECOND
@@ -150,7 +150,7 @@
     return {
         "connections": len(listener.connections.accepted),
         "timers": len(batch.timers),
-        "messages_kb": listener.memory.total // BYTES_PER_KB,
+        "messages_kb": listener.memory.held_kb(),
         "memory_kb": memory.resident_kb,
         "peak_kb": memory.peak_kb,
     }
--- a/grebedyke/service/process_memory.py
+++ b/grebedyke/service/process_memory.py
@@ -1,20 +1,16 @@
 """The memory of this process, as the operating system counts it."""
 
-import os
-import resource
 from typing import NamedTuple
 
-RESIDENT_PAGES_FIELD = 1
-BYTES_PER_KB = 1_000
-BYTES_PER_KIBIBYTE = 1_024
+STATUS_FILE = "/proc/self/status"
 
 
 class ProcessMemory(NamedTuple):
-    """Resident memory of this process, in kB.
+    """Resident memory of this process, in units of 1,024 bytes; 0 if the system does not say.
 
     Attributes:
-        resident_kb: The memory at present; 0 if the system does not say.
-        peak_kb: The largest since the start of the process.
+        resident_kb: The memory at present.
+        peak_kb: The largest since the start of the program.
     """
 
     resident_kb: int
@@ -22,17 +18,18 @@
 
 
 def process_memory():
-    """Returns the `ProcessMemory`; Linux says it in `/proc/self/statm` and by getrusage(2)."""
-    resident_bytes = _resident_bytes()
-    peak_bytes = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * BYTES_PER_KIBIBYTE
-    # The system brings its peak up to date only now and then.
-    return ProcessMemory(resident_bytes // BYTES_PER_KB, max(resident_bytes, peak_bytes) // BYTES_PER_KB)
+    """Returns the `ProcessMemory` (Linux, proc(5)).
 
-
-def _resident_bytes():
+    The peak that getrusage(2) tells may be that of the process that started the program.
+    """
     try:
-        with open("/proc/self/statm", "rb") as file:
-            pages = int(file.read().split()[RESIDENT_PAGES_FIELD])
-    except (OSError, ValueError, IndexError):
-        return 0
-    return pages * os.sysconf("SC_PAGE_SIZE")
+        with open(STATUS_FILE, encoding="ascii", errors="replace") as file:
+            fields = dict(line.split(":", 1) for line in file if ":" in line)
+        return ProcessMemory(_kilobytes(fields["VmRSS"]), _kilobytes(fields["VmHWM"]))
+    except (OSError, KeyError, ValueError, IndexError):
+        return ProcessMemory(0, 0)
+
+
+def _kilobytes(value):
+    """Returns the number of a field such as ` 28672 kB`."""
+    return int(value.split()[0])
--- a/grebedyke/wire/client_admission.py
+++ b/grebedyke/wire/client_admission.py
@@ -4,7 +4,10 @@
 
 from grebedyke import request_trace
 from grebedyke.model.refusal import RefusalReason
+from grebedyke.units import TICKS_PER_MILLISECOND
+from grebedyke.wire.message_memory import BYTES_PER_KB
 from grebedyke.wire.peer_counts import PeerCounts
+from grebedyke.wire.response_pace import ResponsePace
 
 # Refused messages of one address between two reports that are worth a log line.
 FLOOD_MESSAGES = 200
@@ -16,12 +19,14 @@
     Attributes:
         metrics: The node's `Metrics`.
         memory: The `MessageMemory`.
+        pace: The `ResponsePace` of messages that are no requests.
         refused: The `PeerCounts` of refused messages since the last report.
     """
 
-    def __init__(self, metrics, memory):
-        self.metrics = metrics
+    def __init__(self, batch, memory):
+        self.metrics = batch.metrics
         self.memory = memory
+        self.pace = ResponsePace(batch)
         self.refused = PeerCounts()
 
     # Memory of messages.
@@ -57,8 +62,8 @@
             logger.warning(
                 "clients' messages hold {held} of {limit} kB: a message is answered 503",
                 event="no-memory",
-                held=self.memory.total // 1000,
-                limit=self.memory.max_bytes // 1000,
+                held=self.memory.held_kb(),
+                limit=self.memory.max_bytes // BYTES_PER_KB,
             )
 
     # Connections and refused messages.
@@ -66,6 +71,7 @@
     def connection_ended(self, connection):
         """Releases what is held for a connection and counts why it ended."""
         self.memory.update(connection, 0)
+        self.pace.forget(connection)
         self.metrics.count(connection.end_reason)
         request_trace.connection_ended(connection)
 
@@ -77,13 +83,18 @@
     def report(self):
         """Logs the address that sent the most refused messages since the last report, if there were many."""
         busiest = self.refused.busiest()
+        if busiest and busiest[1] >= FLOOD_MESSAGES:
+            self._log_flood(*busiest)
         self.refused.clear()
-        if busiest is None or busiest[1] < FLOOD_MESSAGES:
-            return
-        address, count = busiest
+        self.pace.clear_record()
+
+    def _log_flood(self, address, count):
         logger.warning(
-            "clients of {address} sent {count} messages that were refused",
+            "clients of {address} sent {count} messages that were refused; "
+            "{delayed} answers to all clients waited for their turn, up to {wait_ms} ms",
             event="flood",
             address=address,
             count=count,
+            delayed=self.pace.delayed,
+            wait_ms=self.pace.longest_wait / TICKS_PER_MILLISECOND,
         )
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -1,5 +1,7 @@
 """A connection accepted by the client listener, from a client or from an executor that sends call-backs."""
 
+from functools import partial
+
 from loguru import logger
 
 from grebedyke.errors import HttpProtocolError
@@ -8,8 +10,9 @@
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.http_messages import CONTINUE_RESPONSE, response_head
 from grebedyke.wire.request_headers import UNIQUE_REQUEST_HEADERS
+from grebedyke.wire.response_pace import CONNECTION_UNITS
 from grebedyke.wire.tcp_state import is_closed_by_peer
-from grebedyke.wire.work_allowance import WorkAllowance
+from grebedyke.wire.work_allowance import IMMEDIATE_RESPONSE_UNITS, WorkAllowance
 
 # Shared buffer for data that a client sends after an open request; the data is read and discarded.
 DISCARD_BUFFER = memoryview(bytearray(1 << 18))
@@ -46,6 +49,9 @@
         body_bytes: Length of the body of the last message.
         peer_host: Address of the peer without its port, for the log.
         end_reason: The `ConnectionEnd`, if the connection ended now.
+        awaits_turn: Whether the response to its last message waits for its turn; see `ResponsePace`.
+        closes_after_turn: Whether that response is the last one.
+        setup_units: Units of work for the connection itself that are not charged yet.
         timers: The timers set for this connection, cancelled when it ends.
         has_ended: Whether asyncio has reported its end.
     """
@@ -66,6 +72,9 @@
         self.body_bytes = 0
         self.peer_host = "-"
         self.end_reason = ConnectionEnd.BY_PEER
+        self.awaits_turn = False
+        self.closes_after_turn = False
+        self.setup_units = CONNECTION_UNITS
         self.timers = []
         self.has_ended = False
         self._waits_for_allowance = False
@@ -118,7 +127,7 @@
         if self.open_request is not None and (self.overflowed or not self.ring.free()):
             self._overflow()
             return
-        if self.closes_when_flushed:
+        if self.is_ending():
             self._discard_after_last_response()
             return
         self._handle_messages()
@@ -130,7 +139,7 @@
 
     def held_bytes(self):
         """Returns the memory of the open request's body, or of a message that is incomplete."""
-        if self.closes_when_flushed:
+        if self.is_ending():
             return 0
         return self.parser.partial_message_bytes() if self.open_request is None else self.body_bytes
 
@@ -144,9 +153,7 @@
         self._call_later(LINGER_TIME, self._close_at)
 
     def _is_in_message(self):
-        return (
-            self.open_request is None and not self.closes_when_flushed and self.parser.has_partial_message()
-        )
+        return self.open_request is None and not self.is_ending() and self.parser.has_partial_message()
 
     def _handle_messages(self):
         try:
@@ -164,7 +171,6 @@
             self.end_reason = ConnectionEnd.MALFORMED
             self.ring.skip(self.ring.used)
             self.refuse_message(problem.status, str(problem).encode(), close=True)
-            self._call_later(LINGER_TIME, self._close_at)
         except Exception:
             # A defect in handling one message must end only its connection, not the others.
             if self.listener.batch.metrics.count_and_may_log("faults"):
@@ -174,7 +180,7 @@
 
     def _can_handle_message(self):
         """Returns whether a further message may be handled now; otherwise its bytes wait."""
-        if self.open_request is not None or self.closes_when_flushed or not self.fully_written:
+        if self.open_request is not None or self.is_ending() or self.awaits_turn or not self.fully_written:
             return False
         wait = self.allowance.wait_time()
         if wait and not self._waits_for_allowance:
@@ -184,9 +190,10 @@
 
     def _continue_after_wait(self, now):
         self._waits_for_allowance = False
-        self._continue_input()
+        self.continue_input()
 
-    def _continue_input(self):
+    def continue_input(self):
+        """Handles the messages that have waited in the ring buffer."""
         if not self.is_closed() and self.parser.has_partial_message():
             self.process_input()
             self.resume_if_free()
@@ -194,7 +201,7 @@
     def resume_writing(self):
         """Called by asyncio when the kernel has accepted all written bytes."""
         super().resume_writing()
-        self._continue_input()
+        self.continue_input()
 
     def _overflow(self):
         """Discards data that follows an open request; the connection is closed after the response.
@@ -239,10 +246,31 @@
             self.end_reason = ConnectionEnd.DONE
         self.send(response_head(status, len(body), not close, headers), body, close)
 
+    def respond_in_turn(self, status, body=b"", headers="", close=False):
+        """Responds to a message that is no request, when it is its turn; see `respond` and `ResponsePace`."""
+        units = IMMEDIATE_RESPONSE_UNITS + self.setup_units
+        self.setup_units = 0
+        self.awaits_turn = True
+        self.closes_after_turn = close
+        respond = partial(self._respond_at_turn, status, body, headers, close)
+        self.listener.admission.pace.call(self, units, respond)
+
+    def _respond_at_turn(self, status, body, headers, close):
+        self.awaits_turn = False
+        self.respond(status, body, headers, close)
+        if close:
+            self._call_later(LINGER_TIME, self._close_at)
+
     def refuse_message(self, status, body=b"", headers="", close=False):
-        """Answers a message that is no sound request with an error status; see `respond`."""
+        """Answers a message that is no sound request with an error status; see `respond_in_turn`."""
         self.listener.admission.message_refused(self, status)
-        self.respond(status, body, headers, close)
+        self.respond_in_turn(status, body, headers, close)
+
+    def refuse_overdue_message(self):
+        """Answers that the message was not complete in time, and closes the connection."""
+        self.end_reason = ConnectionEnd.OVERDUE
+        self.listener.admission.message_refused(self, 408)
+        self.respond(408, close=True)
 
     def request_answered(self):
         """Called when the response to the open request is queued; processes input received since."""
@@ -250,7 +278,7 @@
         if self.half_closes:
             self.bytes_discarded = 0
             self._call_later(LINGER_TIME, self._close_at)
-        if not self.closes_when_flushed and self.parser.has_partial_message():
+        if not self.is_ending() and self.parser.has_partial_message():
             self.process_input()
         self.resume_if_free()
         self.listener.connections.reclassify(self)
@@ -286,6 +314,10 @@
         self.timers = [timer for timer in self.timers if timer.call is not None]
         self.timers.append(self.listener.batch.call_later(wait, call))
 
+    def is_ending(self):
+        """Returns whether its last response is queued, or waits for its turn."""
+        return self.closes_when_flushed or (self.awaits_turn and self.closes_after_turn)
+
     def is_closed(self):
         """Returns whether the connection is closed or closing."""
         return self.transport is None or self.transport.is_closing()
@@ -306,7 +338,9 @@
 
         It must have no partly read message, no open request and no unwritten data.
         """
-        if self.open_request is not None or self.closes_when_flushed or self.parser.has_partial_message():
+        if self.open_request is not None or self.is_ending() or self.awaits_turn:
+            return False
+        if self.parser.has_partial_message():
             return False
         if self.out.used or self.body or self.is_closed():
             return False
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -74,7 +74,7 @@
         self.timeouts = OperationTimeouts(settings.client_timeouts)
         self.connections = ConnectionTable(batch, limits)
         self.memory = memory
-        self.admission = ClientAdmission(batch.metrics, memory)
+        self.admission = ClientAdmission(batch, memory)
         self.on_request = on_request
         self.on_job_update = on_job_update
         self.on_client_left = on_client_left
@@ -133,8 +133,7 @@
         Without this check a silent peer would hold a file descriptor indefinitely.
         """
         for connection in self.connections.overdue(now, self.settings.message_timeout):
-            connection.end_reason = ConnectionEnd.OVERDUE
-            connection.refuse_message(408, close=True)
+            connection.refuse_overdue_message()
             # A client that does not read would keep the connection for ever.
             connection.abort_later(LINGER_TIME)
         self.batch.call_at(now + TIMEOUT_CHECK_INTERVAL, self.close_overdue)
@@ -156,7 +155,7 @@
         elif request.method != allowed_method:
             connection.refuse_message(405, headers=f"Allow: {allowed_method.decode()}\r\n")
         elif path == HEALTH_PATH:
-            connection.respond(200 if self.has_listened and not self.stopping else 503)
+            connection.respond_in_turn(200 if self.has_listened and not self.stopping else 503)
         elif path == CALL_BACK_PATH:
             self._handle_call_back(connection, request.body)
         else:
@@ -170,18 +169,25 @@
         return None
 
     def _handle_call_back(self, connection, body):
-        # Acknowledged even if invalid, because the executor would repeat it otherwise.
-        connection.respond(204)
         connection.proven = True
+        update = self._parse_call_back(body)
+        if update:
+            self.batch.enqueue(self.on_job_update, update)
+        # Acknowledged even if invalid, because the executor would repeat it otherwise.
+        if update and self.is_request_known(update.request_id):
+            connection.allowance.refund(IMMEDIATE_RESPONSE_UNITS - CALL_BACK_UNITS)
+            connection.respond(204)
+        else:
+            connection.respond_in_turn(204)
+
+    def _parse_call_back(self, body):
+        """Returns the `JobUpdate` of a call-back, None if it is invalid."""
         try:
-            update = parse_job_update(body)
+            return parse_job_update(body)
         except (ValueError, KeyError, TypeError, AttributeError) as problem:
             if self.batch.metrics.count_and_may_log("odd"):
                 logger.warning("invalid call-back: {why}", event="call-back-odd", why=repr(problem))
-            return
-        if self.is_request_known(update.request_id):
-            connection.allowance.refund(IMMEDIATE_RESPONSE_UNITS - CALL_BACK_UNITS)
-        self.batch.enqueue(self.on_job_update, update)
+            return None
 
     def _handle_request(self, connection, operation, request):
         incoming = parse_incoming_request(request, operation, self.timeouts)
@@ -197,6 +203,7 @@
         self.connections.request_started(connection)
         self.on_request(connection, incoming)
         connection.awaits_first_request = False
+        connection.setup_units = 0
         if connection.open_request is not None:
             connection.allowance.refill()
 
--- a/grebedyke/wire/connection_table.py
+++ b/grebedyke/wire/connection_table.py
@@ -161,7 +161,7 @@
             connection
             for connection, since in self.incomplete.items()
             if now - since > (message_timeout if connection.proven else FIRST_MESSAGE_TIMEOUT)
-            and not connection.closes_when_flushed
+            and not (connection.is_ending() or connection.awaits_turn)
         ]
 
     def is_busy(self):
--- a/grebedyke/wire/message_memory.py
+++ b/grebedyke/wire/message_memory.py
@@ -1,6 +1,7 @@
 """Bounds the memory that the messages of all client connections hold together."""
 
 BYTES_PER_MB = 1_000_000
+BYTES_PER_KB = 1_000
 # Share of the node's memory limit for messages. During a hot restart two processes share the limit, and each
 # also needs its own code, buffers and tables.
 MESSAGE_SHARE = 1 / 8
@@ -46,6 +47,10 @@
         """Returns whether a connection may hold `size` bytes in place of what it holds now."""
         return self.total - self.held.get(connection, 0) + size <= self.max_bytes
 
+    def held_kb(self):
+        """Returns how much is held, in kB."""
+        return self.total // BYTES_PER_KB
+
     def is_exceeded(self):
         """Returns whether more is held than allowed."""
         return self.total > self.max_bytes
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -84,6 +84,9 @@
     def is_closing(self):
         return self.closing
 
+    def get_write_buffer_size(self):
+        return 0
+
     def close(self):
         self.closing = True
 
@@ -221,6 +224,7 @@
             is_request_known=self.host.requests.is_request_known,
             on_client_left=self.host.requests.client_left,
         )
+        self.host.job_updates.pass_on = lambda update: None
         self.batch.next_action = self.dispatcher.next_action
         self.batch.carry_out = self.host.perform
         address = ("127.0.0.9", 1)
--- a/tests/test_connection_fairness.py
+++ b/tests/test_connection_fairness.py
@@ -5,6 +5,7 @@
 
 import pytest
 from emulators import BlockingClient, ExecutorEmulator, until
+from manual_clock import ManualClock
 from node_harness import NodeHarness
 from socketless_node import NOW, SocketlessNode, call_back_message, receive, request
 
@@ -22,25 +23,6 @@
 UNLIMITED_UNITS = 1 << 40
 
 
-class ManualClock:
-    """A clock that the test moves.
-
-    Attributes:
-        now: The time in ticks.
-    """
-
-    def __init__(self, node):
-        self.now = NOW
-        node.batch.clock = lambda: self.now
-
-    def advance(self, node, ticks):
-        """Moves the clock, and runs what is due."""
-        self.now += ticks
-        node.batch.pass_times.extend([self.now] * 3)
-        node.batch.schedule()
-        node.run()
-
-
 def fill_ring(client, message):
     """Fills a connection's receive buffer with copies of a message."""
     copies = message * (RECEIVE_BUFFER_BYTES // len(message) + 1)
@@ -134,6 +116,8 @@
             client.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             # As if the node had much time for this client.
             connection.allowance.left = UNLIMITED_UNITS
+            pace = harness.listener.admission.pace
+            pace.left = pace.refilled_at = UNLIMITED_UNITS
             connection.proven = True  # it has longer to end a message
             client.socket.setblocking(False)
             loop = asyncio.get_running_loop()
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -18,11 +18,12 @@
 CLOSING_CLIENTS = 4
 # The kernel repeats a connect after a second if the accept queue was full.
 CONNECT_RETRY_MS = 1_000
+UNLIMITED_UNITS = 1 << 40
 MALFORMED = b"POST /op/k HTTP/1.1\r\n\r\n"
 
 
-def figures_beside_flood(folder, kind, mode, connection_count, on_new_connections=False, clients=1):
-    """Returns what other clients see beside a flood, and the node's memory."""
+def flooded_figures(folder, kind, mode, connection_count, on_new_connections=False, clients=1):
+    """Returns the `Figures` beside a flood, and how many connections each flooding client opened."""
 
     async def scenario():
         limits = {"sockets": 1024, "memory_mb": MEMORY_LIMIT_MB}
@@ -31,9 +32,10 @@
             floods = [scene.flood(kind, mode, FLOOD_S, connection_count) for _ in range(clients)]
             figures = await scene.measure(FLOOD_S, "m", on_new_connections)
             sent = [(await asyncio.to_thread(flood.communicate))[0].strip() for flood in floods]
-            print(kind, mode, connection_count, figures, "sent, connects:", sent)
+            connects = [int(line.split()[1]) for line in sent]
+            print(kind, mode, connection_count, figures, "connects:", connects)
             assert scene.program.process.poll() is None, "the node has ended"
-            return figures
+            return figures, connects
 
     return asyncio.run(scenario())
 
@@ -48,21 +50,21 @@
     ("mode", "connection_count"), [(Mode.ANSWERED, MANY_CONNECTIONS), (Mode.ONE_ANSWER, 1)]
 )
 def test_malformed_messages_on_new_connections_do_not_fill_the_memory(tmp_path, mode, connection_count):
-    figures = figures_beside_flood(tmp_path, "malformed", mode, connection_count)
+    figures, _ = flooded_figures(tmp_path, "malformed", mode, connection_count)
     assert_within_memory_limit(figures)
     assert not figures.failed
 
 
 # Guards against: answered requests filled the memory until their deadlines.
 def test_sound_requests_under_new_names_do_not_fill_the_memory(tmp_path):
-    figures = figures_beside_flood(tmp_path, "new-names", Mode.KEPT, MANY_CONNECTIONS)
+    figures, _ = flooded_figures(tmp_path, "new-names", Mode.KEPT, MANY_CONNECTIONS)
     assert_within_memory_limit(figures)
 
 
 # Guards against: clients that close at once filled the accept queue, and connects of others were repeated.
 @pytest.mark.parametrize("kind", ["silent", "malformed"])
 def test_clients_that_close_at_once_do_not_keep_others_from_connecting(tmp_path, kind):
-    figures = figures_beside_flood(tmp_path, kind, Mode.CLOSED, 1, True, CLOSING_CLIENTS)
+    figures, _ = flooded_figures(tmp_path, kind, Mode.CLOSED, 1, True, CLOSING_CLIENTS)
     longest_ms = figures.wait_ms(1)
     assert longest_ms < CONNECT_RETRY_MS, f"longest wait {longest_ms:.0f} ms, connects are repeated"
     assert not figures.failed
@@ -87,6 +89,8 @@
 @pytest.mark.usefixtures("no_garbage_collection")
 def test_ended_connection_is_not_kept_by_its_timers():
     node = SocketlessNode(max_connections=99)
+    pace = node.listener.admission.pace
+    pace.left = pace.refilled_at = UNLIMITED_UNITS  # all are answered at once
     references = []
     for _ in range(20):
         client = receive(node.client(), MALFORMED)
