Bound the parts of an executor's response: an endless one took the time of all

Found by reading for it.

What callers would see: an executor that answers an attempt with interim responses, empty lines or chunks of one byte without end keeps the node parsing until the attempt's response time (500 ms) is over, on each attempt anew; interim responses and empty lines were not limited at all, a body of 64 kB in chunks of a byte takes 131,072 steps.

Change: a response has at most 8,192 parts (empty lines, interim responses, chunk lines and chunks); beyond it the connection is aborted as after any other invalid response. Clients' messages have their allowance, discovery's lists no such limit.

--- a/grebedyke/wire/connection.py
+++ b/grebedyke/wire/connection.py
@@ -35,12 +35,13 @@
         reads_responses=False,
         max_body_bytes=DEFAULT_MAX_BODY_BYTES,
         unique_headers=(),
+        max_parts=None,
     ):
         self.request_flush = request_flush
         self.ring = RingBuffer(RECEIVE_BUFFER_BYTES)
         self.out = RingBuffer(SEND_BUFFER_BYTES)
         self.body = None
-        self.parser = HttpParser(self.ring, reads_responses, max_body_bytes, unique_headers)
+        self.parser = HttpParser(self.ring, reads_responses, max_body_bytes, unique_headers, max_parts)
         self.transport = None
         self.closes_when_flushed = False
         self.half_closes = False
--- a/grebedyke/wire/executor_connection.py
+++ b/grebedyke/wire/executor_connection.py
@@ -15,6 +15,9 @@
 # The status of a probe's or a cancel's response, which an attempt's response never has.
 OK_STATUS = 200
 ACCEPTED_STATUS = 202
+# As many as a body of the maximum size has in chunks of 16 bytes. An endless response
+# would take the time of all others.
+MAX_RESPONSE_PARTS = 8_192
 # Response statuses that mean a rejected job, if a header says that it was not processed.
 REJECTION_STATUSES = (503, 504)
 
@@ -204,7 +207,7 @@
     """
 
     def __init__(self, endpoint):
-        super().__init__(endpoint.pool.batch.touch, reads_responses=True)
+        super().__init__(endpoint.pool.batch.touch, reads_responses=True, max_parts=MAX_RESPONSE_PARTS)
         self.endpoint = endpoint
         self.incarnation = endpoint.incarnation()
         self.call = None
--- a/grebedyke/wire/http_parser.py
+++ b/grebedyke/wire/http_parser.py
@@ -48,6 +48,8 @@
         reads_responses: Whether the peer sends responses rather than requests.
         max_body_bytes: Maximum size of an accepted body.
         unique_headers: Lower-case names of headers that may occur only once.
+        max_parts: Maximum number of parts (empty lines, interim responses, chunks) of a message; None for no
+            limit.
         state: The part of the message that is read next.
         keep_alive: Whether the last message allows a further one on the connection.
         expects_continue: Whether the peer waits for a 100 response before it sends the body.
@@ -61,6 +63,7 @@
         "reads_responses",
         "max_body_bytes",
         "unique_headers",
+        "max_parts",
         "state",
         "keep_alive",
         "expects_continue",
@@ -73,13 +76,22 @@
         "_remaining_bytes",
         "_trailer_lines",
         "_head_bytes",
+        "_parts",
     )
 
-    def __init__(self, ring, reads_responses=False, max_body_bytes=DEFAULT_MAX_BODY_BYTES, unique_headers=()):
+    def __init__(
+        self,
+        ring,
+        reads_responses=False,
+        max_body_bytes=DEFAULT_MAX_BODY_BYTES,
+        unique_headers=(),
+        max_parts=None,
+    ):
         self.ring = ring
         self.reads_responses = reads_responses
         self.max_body_bytes = max_body_bytes
         self.unique_headers = frozenset((*UNIQUE_HEADERS, *unique_headers))
+        self.max_parts = max_parts
         self.state = ParserState.HEAD
         self.keep_alive = True
         self.expects_continue = False
@@ -92,6 +104,7 @@
         self._remaining_bytes = 0
         self._trailer_lines = 0
         self._head_bytes = 0
+        self._parts = 0
 
     def partial_message_bytes(self):
         """Returns the memory of a message whose body is incomplete, besides the ring buffer."""
@@ -115,8 +128,15 @@
         while result is StepResult.CONTINUE and self.steps_taken != max_steps:
             self.steps_taken += 1
             result = STATE_HANDLERS[self.state](self)
+            if result is StepResult.CONTINUE:
+                self._count_part()
         return self._take_message() if result is StepResult.MESSAGE_COMPLETE else None
 
+    def _count_part(self):
+        self._parts += 1
+        if self.max_parts is not None and self._parts > self.max_parts:
+            raise HttpProtocolError(400, "too many parts in a message")
+
     def end_of_stream(self):
         """Returns the response that EOF completes, None if there is none.
 
@@ -130,6 +150,7 @@
         self.expects_continue = False
         self.headers = {}
         self.body = b""
+        self._parts = 0
 
     def _take_message(self):
         body = bytes(self.body)
