Bound the rate of polls that discovery answers at once with changes

What callers would see: a discovery that answers each poll at once with a change (a flapping entry, a defect) is polled again at once, as fast as both can, and each answer is parsed and applied: the node has less time for clients, up to a whole core.

Change: after 20 answers in a row within 10 ms, polls start at least 10 ms apart; an answer after a wait ends that. A burst of up to 20 changes is followed without a pause as before, and a pause of at most 10 ms is far below the 200 ms within which a watch goes on.

--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -15,6 +15,9 @@
 LIST_TARGET = b"/discovery/hosts"
 # Ticks between an immediate answer without changes and the next poll, which must follow within 200 ms.
 POLL_PAUSE = 100 * TICKS_PER_MILLISECOND
+# An answer within this many ticks is a quick one; after several in a row polls start this far apart.
+QUICK_ANSWER_TIME = 10 * TICKS_PER_MILLISECOND
+MAX_QUICK_ANSWERS = 20
 # Ticks for which the answer to a timed-out poll is still accepted.
 LATE_ANSWER_TIME = TICKS_PER_SECOND
 # A complete list can be far larger than the body of a job.
@@ -94,6 +97,7 @@
         poll_number: Count of polls and of accepted late answers; identifies the timer of an earlier poll.
         poll_started: Start time of the last poll, in ticks.
         skips_wait: Whether the next poll asks for an immediate answer.
+        quick_answers: Number of answers in a row that came within `QUICK_ANSWER_TIME`.
         failures: Number of failed polls since the last answer.
         failing: Whether a failure was logged and no answer has arrived since.
         closed: Whether `close` was called.
@@ -115,6 +119,7 @@
         self.poll_number = 0
         self.poll_started = 0
         self.skips_wait = True
+        self.quick_answers = 0
         self.failures = 0
         self.failing = False
         self.closed = False
@@ -260,11 +265,15 @@
         self.first_result.set()
 
     def _poll_again(self, had_changes):
-        if had_changes or self.batch.clock() - self.poll_started > POLL_PAUSE:
-            self.poll()
-        else:
+        elapsed = self.batch.clock() - self.poll_started
+        self.quick_answers = self.quick_answers + 1 if elapsed < QUICK_ANSWER_TIME else 0
+        if not had_changes and elapsed <= POLL_PAUSE:
             # Limits the polling rate if discovery answers immediately although it has no changes.
             self.batch.call_later(POLL_PAUSE, self.poll)
+        elif self.quick_answers > MAX_QUICK_ANSWERS:
+            self.batch.call_later(QUICK_ANSWER_TIME - elapsed, self.poll)
+        else:
+            self.poll()
 
     # Failures.
 
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -7,7 +7,13 @@
 from node_files import LISTED_ROW
 from socketless_node import CallRecorder, FakeEventLoop, connect, fixed_clock_batch_loop, receive
 
-from grebedyke.wire.discovery_client import DiscoveryClient, DiscoveryConnection, DiscoverySettings
+from grebedyke.wire.discovery_client import (
+    MAX_QUICK_ANSWERS,
+    QUICK_ANSWER_TIME,
+    DiscoveryClient,
+    DiscoveryConnection,
+    DiscoverySettings,
+)
 
 SETTINGS = DiscoverySettings(
     long_poll_wait=50_000, answer_grace=10_000, retry_delay=10_000, max_retry_delay=10_000
@@ -94,6 +100,21 @@
             assert client.connection.transport.written.count(b"GET ") == 2
 
 
+# Guards against: a discovery that answers each poll at once with a change took the time of all clients.
+def test_immediate_answers_with_changes_are_polled_at_a_bounded_rate():
+    count = 3 * MAX_QUICK_ANSWERS
+    answers = [{"index": 42 + number, "endpoints": [LISTED_ROW]} for number in range(count)]
+    client, _, sent = answer_polls(*answers, at_once=True)
+    assert sent.count(b"GET ") == MAX_QUICK_ANSWERS + 1
+    (timer,) = [timer for timer in client.batch.timers if timer.call == client.poll]
+    assert timer.when == client.poll_started + QUICK_ANSWER_TIME
+    # A burst of changes is followed without a pause, and one answer after a wait begins a new burst.
+    client, _, sent = answer_polls(*answers[:MAX_QUICK_ANSWERS], at_once=True)
+    assert sent.count(b"GET ") == MAX_QUICK_ANSWERS + 1
+    client, _, sent = answer_polls(*answers, at_once=False)
+    assert sent.count(b"GET ") == count + 1
+
+
 def test_row_without_valid_address_does_not_affect_others():
     rows = [{**LISTED_ROW, "name": "s-0", "address": "?"}, LISTED_ROW]
     _, calls, _ = answer_polls({"index": 42, "snapshot": True, "endpoints": rows})
