Bound what waits for a process of a hot restart that stands still

What callers would see: call-backs about unknown jobs are passed on to the other process of a hot restart. While that one stands still they pile up in the channel: some 450 a second for each connection, with up to 64 kB each. So do questions about identifiers, one for each request.

Change: with over 4 MB unread, call-backs about other processes' requests are dropped (they were acknowledged; the process that stands still could not have used them in time), with a log line and the count odd; a request whose identifier that process would have to decide on is answered 503 at once (undecided_id) and not accepted. Releases, decisions, connections and bans are always sent: there is one for each thing that was accepted before. The queue is a deque, as the first packet was removed from a list.

--- a/grebedyke/model/refusal.py
+++ b/grebedyke/model/refusal.py
@@ -22,7 +22,8 @@
         SHUTTING_DOWN: The process is shutting down; the request was not accepted.
         DUPLICATE_ID: The request's identifier is in use; answered 409.
         NO_MEMORY: Clients' messages hold as much memory as they may; the message was not accepted.
-        UNDECIDED_ID: The other process of this node did not say in time whether the identifier is in use.
+        UNDECIDED_ID: The other process of this node did not say in time whether the identifier is in use, or
+            does not read what it is asked; then the request was not accepted.
     """
 
     OVER_LIMIT = "over_limit"
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -192,6 +192,14 @@
             if channel:
                 channel.send({"kind": kind, **fields})
 
+    def send_unless_congested(self, kind, **fields):
+        """Sends a message to the other process unless it does not read; returns whether that is so."""
+        channels = [channel for channel in (self.predecessor, self.successor) if channel]
+        for channel in channels:
+            if not channel.is_congested():
+                channel.send({"kind": kind, **fields})
+        return any(channel.is_congested() for channel in channels)
+
     def close(self):
         """Closes the channels and stops listening."""
         self.wants_successor = False
--- a/grebedyke/service/identifier_channel.py
+++ b/grebedyke/service/identifier_channel.py
@@ -98,6 +98,11 @@
             known_until=known_until,
         )
 
+    def is_congested(self):
+        """See `IdentifierMessenger`."""
+        successor = self.hot_restart.successor
+        return successor is not None and successor.is_congested()
+
     @staticmethod
     def _send(channel, kind, **fields):
         if channel:
--- a/grebedyke/service/process_channel.py
+++ b/grebedyke/service/process_channel.py
@@ -2,6 +2,7 @@
 
 import os
 import socket
+from collections import deque
 
 import orjson
 
@@ -12,6 +13,8 @@
 # Maximum number of packets read in one pass of the event loop.
 PACKETS_PER_PASS = 64
 MAX_DESCRIPTORS = 4
+# With more bytes to send than this, the other process does not read: it stands still.
+CONGESTED_BYTES = 4 << 20
 
 
 class ProcessChannel:
@@ -23,6 +26,7 @@
         on_message: Called with the channel, a message and the list of its descriptors.
         on_end: Called with the channel when it is closed.
         queue: Packets to send, each with its descriptors.
+        queued_bytes: The size of these packets.
         received: Data of an incomplete message.
         is_blocked: Whether the socket is not writable at present.
     """
@@ -32,7 +36,8 @@
         self.socket = socket
         self.on_message = on_message
         self.on_end = on_end
-        self.queue = []
+        self.queue = deque()
+        self.queued_bytes = 0
         self.received = b""
         self.is_blocked = False
         socket.setblocking(False)
@@ -44,12 +49,21 @@
             return
         data = orjson.dumps(message)
         pieces = [data[start : start + PACKET_BYTES] for start in range(0, len(data), PACKET_BYTES)]
-        self.queue += [(MORE_FOLLOWS + piece, ()) for piece in pieces[:-1]]
+        for piece in pieces[:-1]:
+            self._enqueue(MORE_FOLLOWS + piece, ())
         # Duplicated, as the caller may close the originals before the packet is sent.
         duplicates = [os.dup(descriptor) for descriptor in descriptors]
-        self.queue.append((LAST_PACKET + pieces[-1], duplicates))
+        self._enqueue(LAST_PACKET + pieces[-1], duplicates)
         self._write()
 
+    def is_congested(self):
+        """Returns whether more waits to be sent than the other process leaves unread while it runs."""
+        return self.queued_bytes > CONGESTED_BYTES
+
+    def _enqueue(self, packet, descriptors):
+        self.queue.append((packet, descriptors))
+        self.queued_bytes += len(packet)
+
     def _write(self):
         while self.queue:
             data, descriptors = self.queue[0]
@@ -61,7 +75,8 @@
             except OSError:
                 self.close()
                 return
-            del self.queue[0]
+            self.queue.popleft()
+            self.queued_bytes -= len(data)
             _close_all(descriptors)
         if self.is_blocked:
             self.is_blocked = False
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -1,5 +1,7 @@
 """Encodes and decodes the messages between two processes of one node."""
 
+from loguru import logger
+
 from grebedyke.service.hot_restart import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.request_headers import JobUpdate
@@ -55,8 +57,11 @@
     # Sending.
 
     def send_job_update(self, update):
-        """Passes on a call-back about a request that this process does not have."""
-        self.hot_restart.send(
+        """Passes on a call-back about a request that this process does not have.
+
+        Any peer may send such call-backs, so one is dropped if the other process has not read the last ones.
+        """
+        is_dropped = self.hot_restart.send_unless_congested(
             MessageKind.JOB_UPDATE,
             id=update.request_id,
             name=update.executor,
@@ -64,6 +69,10 @@
             result=update.result.decode(),
             load=update.load,
         )
+        if is_dropped and self.batch.metrics.count_and_may_log("odd"):
+            logger.warning(
+                "the other process does not read: a call-back is dropped", event="handover-congested"
+            )
 
     def send_ban(self, endpoint_id, is_banned):
         """Passes on an operator's ban or its end."""
--- a/grebedyke/service/request_identifiers.py
+++ b/grebedyke/service/request_identifiers.py
@@ -74,6 +74,10 @@
     def release(self, request_id, known_until):
         """Tells the successor that an identifier is not open here any more."""
 
+    def is_congested(self):
+        """Returns whether the other process has not read the last messages, so that no claim may be sent."""
+        return False
+
 
 class RequestIdentifiers:
     """The identifiers of open requests, in this process and in the other one of a hot restart.
@@ -107,6 +111,10 @@
             or self.memory.knows(now, request_id)
         )
 
+    def can_claim(self):
+        """Returns whether a claim can be decided in time; without that, messages would pile up."""
+        return self.ownership is Ownership.OWN or not self.messenger.is_congested()
+
     def claim(self, request_id, on_decided):
         """Claims an identifier that this process does not know to be in use; `release` ends the claim.
 
--- a/grebedyke/service/request_table.py
+++ b/grebedyke/service/request_table.py
@@ -130,6 +130,8 @@
         """Returns the `RefusalReason` if a request cannot be accepted, else None."""
         if len(self.pending) >= self.settings.max_open_requests:
             return RefusalReason.TABLE_FULL
+        if not self.identifiers.can_claim():
+            return RefusalReason.UNDECIDED_ID
         # At the end of a shutdown there is no time for an attempt. After a refusal the client can safely try
         # another node, while an error would be final.
         step = 2 * self.settings.scheduling_interval
