Bound the answers that clients do not read, over all connections

What callers would see: clients that take no answers let a node hold one of up to 64 kB for each connection, some 40 MB with 1,024 descriptors, beside the eighth of limits.memory_mb for their messages: outside of any stated sum.

Change: unread answers together hold at most an eighth of limits.memory_mb too. Beyond it the connections whose answers have been unread for longest, at least a second, are closed (end_not_reading); younger ones stay, so the sum may pass the bound for a second, by no more than a connection's answer each. The two bounds are separate: clients that do not read keep no request from being accepted. The gauge unread_kb tells how much it is.

Tests: tests/test_message_memory.py, two new. The log line of lacking memory has the second figure.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -151,6 +151,7 @@
         "connections": len(listener.connections.accepted),
         "timers": len(batch.timers),
         "messages_kb": listener.memory.held_kb(),
+        "unread_kb": listener.admission.unread.held_kb(),
         "memory_kb": memory.resident_kb,
         "peak_kb": memory.peak_kb,
     }
--- a/grebedyke/wire/client_admission.py
+++ b/grebedyke/wire/client_admission.py
@@ -4,28 +4,34 @@
 
 from grebedyke import request_trace
 from grebedyke.model.refusal import RefusalReason
-from grebedyke.units import TICKS_PER_MILLISECOND
-from grebedyke.wire.message_memory import BYTES_PER_KB
+from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
+from grebedyke.wire.message_memory import BYTES_PER_KB, MessageMemory
 from grebedyke.wire.peer_counts import PeerCounts
 from grebedyke.wire.response_pace import ResponsePace
 
 # Refused messages of one address between two reports that are worth a log line.
 FLOOD_MESSAGES = 200
+# Ticks for which a client may leave an answer unread, however little memory there is.
+UNREAD_ANSWER_TIME = TICKS_PER_SECOND
 
 
 class ClientAdmission:
     """The limits on all connections of the client listener together.
 
     Attributes:
+        batch: The node's `BatchLoop`, for its clock.
         metrics: The node's `Metrics`.
-        memory: The `MessageMemory`.
+        memory: The `MessageMemory` of incomplete messages and of the bodies of open requests.
+        unread: The `MessageMemory` of answers that clients have not read, with the same bound.
         pace: The `ResponsePace` of messages that are no requests.
         refused: The `PeerCounts` of refused messages since the last report.
     """
 
     def __init__(self, batch, memory):
+        self.batch = batch
         self.metrics = batch.metrics
         self.memory = memory
+        self.unread = MessageMemory(memory.max_bytes)
         self.pace = ResponsePace(batch)
         self.refused = PeerCounts()
 
@@ -57,12 +63,28 @@
             connection.refuse_incomplete_message()
             self.memory.update(connection, 0)
 
+    def update_unread(self, connection):
+        """Records the memory of an unread answer, and drops the oldest ones if there are too many.
+
+        They have a bound of their own: clients that do not read keep no request from being accepted.
+        """
+        self.unread.update(connection, connection.unread_bytes())
+        latest = self.batch.clock() - UNREAD_ANSWER_TIME
+        for holder in list(self.unread.held):
+            if not self.unread.is_exceeded() or holder.unread_since > latest:
+                return
+            self._count_lack_of_memory()
+            self.unread.update(holder, 0)
+            holder.end_unread()
+
     def _count_lack_of_memory(self):
         if self.metrics.count_and_may_log(RefusalReason.NO_MEMORY):
             logger.warning(
-                "clients' messages hold {held} of {limit} kB: a message is answered 503",
+                "clients' messages hold {held} kB and unread answers {unread} kB, of {limit} kB each: "
+                "some messages are answered 503 or some answers dropped",
                 event="no-memory",
                 held=self.memory.held_kb(),
+                unread=self.unread.held_kb(),
                 limit=self.memory.max_bytes // BYTES_PER_KB,
             )
 
@@ -71,6 +93,7 @@
     def connection_ended(self, connection):
         """Releases what is held for a connection and counts why it ended."""
         self.memory.update(connection, 0)
+        self.unread.update(connection, 0)
         self.pace.forget(connection)
         self.metrics.count(connection.end_reason)
         request_trace.connection_ended(connection)
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -52,6 +52,7 @@
         awaits_turn: Whether the response to its last message waits for its turn; see `ResponsePace`.
         closes_after_turn: Whether that response is the last one.
         setup_units: Units of work for the connection itself that are not charged yet.
+        unread_since: Time in ticks since which the kernel has not accepted all written bytes; None if it has.
         timers: The timers set for this connection, cancelled when it ends.
         has_ended: Whether asyncio has reported its end.
     """
@@ -75,6 +76,7 @@
         self.awaits_turn = False
         self.closes_after_turn = False
         self.setup_units = CONNECTION_UNITS
+        self.unread_since = None
         self.timers = []
         self.has_ended = False
         self._waits_for_allowance = False
@@ -143,6 +145,10 @@
             return 0
         return self.parser.partial_message_bytes() if self.open_request is None else self.body_bytes
 
+    def unread_bytes(self):
+        """Returns the memory of an answer that the kernel has not accepted, as the client does not read."""
+        return 0 if self.unread_since is None else self.transport.get_write_buffer_size()
+
     def refuse_incomplete_message(self):
         """Answers an incomplete message with 503 and discards it."""
         self.half_closes = True
@@ -198,9 +204,17 @@
             self.process_input()
             self.resume_if_free()
 
+    def pause_writing(self):
+        """Called by asyncio when the kernel has not accepted all written bytes."""
+        super().pause_writing()
+        self.unread_since = self.listener.batch.clock()
+        self.listener.admission.update_unread(self)
+
     def resume_writing(self):
         """Called by asyncio when the kernel has accepted all written bytes."""
         super().resume_writing()
+        self.unread_since = None
+        self.listener.admission.update_unread(self)
         self.continue_input()
 
     def _overflow(self):
@@ -297,6 +311,11 @@
             self.flush()
         super().close()
 
+    def end_unread(self):
+        """Closes the connection of a client that does not read its answer."""
+        self.end_reason = ConnectionEnd.NOT_READING
+        self.abort()
+
     def abort_later(self, wait):
         """Closes the connection after `wait` ticks, even if the peer has not read what was written."""
         self._call_later(wait, self._abort_at)
--- a/grebedyke/wire/connection_end.py
+++ b/grebedyke/wire/connection_end.py
@@ -15,6 +15,7 @@
         OVERFLOWED: The client sent more behind its open request than the node keeps.
         EVICTED: Another connection needed its file descriptor.
         NO_MEMORY: Its incomplete message was refused for lack of memory.
+        NOT_READING: Its client did not read the answer, and there was a lack of memory.
         SHUTDOWN: The node was stopping.
         HANDED_OVER: The other process of this node has it now.
         FAULT: An error of this program while handling its message.
@@ -28,6 +29,7 @@
     OVERFLOWED = "end_overflowed"
     EVICTED = "end_evicted"
     NO_MEMORY = "end_no_memory"
+    NOT_READING = "end_not_reading"
     SHUTDOWN = "end_shutdown"
     HANDED_OVER = "end_handed_over"
     FAULT = "end_fault"
--- a/grebedyke/wire/message_memory.py
+++ b/grebedyke/wire/message_memory.py
@@ -1,4 +1,4 @@
-"""Bounds the memory that the messages of all client connections hold together."""
+"""Bounds the memory that the messages of all client connections hold together, in both directions."""
 
 BYTES_PER_MB = 1_000_000
 BYTES_PER_KB = 1_000
@@ -13,7 +13,7 @@
 
 
 class MessageMemory:
-    """The bytes held for each connection: a message that is not complete yet, or the body of an open request.
+    """The bytes held for each connection: of an incomplete message, an open request or an unread answer.
 
     >>> memory = MessageMemory(10)
     >>> memory.update("a", 6)
--- a/tests/socketless_node.py
+++ b/tests/socketless_node.py
@@ -57,6 +57,7 @@
         closing: Whether the connection is closed.
         ended_sending: Whether only the sending side is closed.
         stuck: Whether the kernel accepts no written bytes.
+        unsent: Number of bytes that it has not accepted.
         socket: The socket, of which a connection asks whether it has unread bytes.
         protocol: The connection.
     """
@@ -66,6 +67,7 @@
         self.closing = False
         self.ended_sending = False
         self.stuck = False
+        self.unsent = 0
         self.protocol = protocol
         self.socket = QUIET_SOCKET
 
@@ -77,6 +79,7 @@
 
     def write(self, data):
         if self.stuck:
+            self.unsent += len(data)
             self.protocol.pause_writing()
         else:
             self.written += data
@@ -85,7 +88,7 @@
         return self.closing
 
     def get_write_buffer_size(self):
-        return 0
+        return self.unsent
 
     def close(self):
         self.closing = True
--- a/tests/test_message_memory.py
+++ b/tests/test_message_memory.py
@@ -1,9 +1,12 @@
 """The messages of all clients together hold a bounded part of the node's memory."""
 
+from manual_clock import ManualClock
 from socketless_node import NOW, REQUEST, SocketlessNode, receive, request
 
 from grebedyke.model.actions import Fail
 from grebedyke.model.refusal import RefusalReason
+from grebedyke.wire.client_admission import UNREAD_ANSWER_TIME
+from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.http_parser import MAX_HEADER_LINES
 
 BODY_BYTES = 60_000
@@ -71,3 +74,58 @@
         client = node.send_request(REQUEST.replace(b"\r\n\r\n", fields + b"\r\n\r\n"))
         assert client.transport.written[: len(status)] == status
         assert (client.open_request is None) == bool(status)
+
+
+def answer_with(node, request_id, size):
+    """Answers an open request with a result of `size` bytes."""
+    request = node.host.requests.pending[request_id]
+    node.host.requests.respond(NOW, request, 200, "succeeded", b"x" * size)
+    node.host.requests.release(NOW, request)
+    node.run()
+
+
+# Guards against: answers that clients do not read were outside of the bound on memory.
+def test_answers_that_clients_do_not_read_hold_bounded_memory():
+    """Clients with large answers read nothing. Later ones are cut off only after a second without reading."""
+    node = crowded_node()
+    clock = ManualClock(node)
+    clients = []
+    for number in range(CLIENT_COUNT):
+        client = node.send_request(request(number))
+        client.transport.stuck = number != 5
+        answer_with(node, b"r%d" % number, BODY_BYTES)
+        clients.append(client)
+        clock.advance(node, UNREAD_ANSWER_TIME // 10)
+    held = node.listener.admission.unread
+    assert held.total <= MAX_BYTES + BODY_BYTES
+    ended = [client.transport.closing for client in clients]
+    assert ended == [True] * 5 + [False] + [True] * (sum(ended) - 5) + [False] * (
+        CLIENT_COUNT - 1 - sum(ended)
+    )
+    assert CLIENT_COUNT // 2 < sum(ended) < CLIENT_COUNT - 9
+    assert all(
+        client.end_reason is ConnectionEnd.NOT_READING for client in clients if client.transport.closing
+    )
+    # A client that reads in the end gets its answer, and its memory is free again.
+    late = clients[-1]
+    late.transport.stuck, late.transport.unsent = False, 0
+    before = held.total
+    late.resume_writing()
+    assert before - held.total >= BODY_BYTES and not late.transport.closing
+
+
+def test_unread_answers_keep_no_request_from_being_accepted():
+    node = crowded_node()
+    readers = []
+    for number in range(20):
+        reader = node.send_request(request(number))
+        reader.transport.stuck = True
+        answer_with(node, b"r%d" % number, BODY_BYTES)
+        readers.append(reader)
+    # All are younger than a second.
+    assert node.listener.admission.unread.is_exceeded()
+    assert not any(reader.transport.closing for reader in readers)
+    accepted = node.send_request(large_request(50))
+    partial = receive(node.client(), large_request(51)[: BODY_BYTES // 2])
+    node.run()
+    assert accepted.open_request is not None and not partial.transport.written
