Pace acknowledgements of call-backs and answers to operators' calls too

Two rows of the table of what a peer can cause had a bound for each connection, or none:

- call-backs about an open request cost one unit of a connection's allowance, 4,000 a second for each connection; a client knows the identifiers of its own requests.
They count at once as before, but their acknowledgements go out at 4,000 a second over all connections, apart from the pace of unsound messages, so that neither flood holds up the other;
- calls on ever new connections to the operators' address were answered as fast as they came: some 400 a second now, by a pace of that address alone.
Its timers of 5 s already end with their connections.

Tests: one each in test_response_pace and test_admin_api, which count the answers of an interval; both count all that was sent without the change.

--- a/grebedyke/service/admin_api.py
+++ b/grebedyke/service/admin_api.py
@@ -3,6 +3,7 @@
 Each call is enqueued as an event and answered in the batch that handles it.
 """
 
+from functools import partial
 from urllib.parse import unquote_to_bytes
 
 from loguru import logger
@@ -11,6 +12,8 @@
 from grebedyke.units import TICKS_PER_SECOND
 from grebedyke.wire.connection import Connection
 from grebedyke.wire.http_messages import decode_text, response_head
+from grebedyke.wire.response_pace import CONNECTION_UNITS, ResponsePace
+from grebedyke.wire.work_allowance import IMMEDIATE_RESPONSE_UNITS
 
 READY_PATH = b"/v1/readyz"
 ENDPOINTS_PATH = b"/v1/executors/"
@@ -19,6 +22,8 @@
 CONNECTION_TIMEOUT = 5 * TICKS_PER_SECOND
 MAX_BODY_BYTES = 4_096
 ACCEPT_BACKLOG = 256
+# Units of work for a call and its connection.
+CALL_UNITS = CONNECTION_UNITS + IMMEDIATE_RESPONSE_UNITS
 
 
 class AdminConnection(Connection):
@@ -44,6 +49,7 @@
     def connection_lost(self, exc):
         """Called by asyncio when the connection is closed."""
         self.timer.cancel()
+        self.api.pace.forget(self)
         self.api.connections.pop(self, None)
 
     def eof_received(self):
@@ -68,9 +74,13 @@
             self.api.handle(self, request)
 
     def answer(self, status, text, headers=""):
-        """Answers the call with a line of text and closes the connection."""
+        """Answers the call with a line of text, when it is its turn, and closes the connection."""
         body = text.encode() + b"\n"
-        self.send(response_head(status, len(body), False, headers), body, close=True)
+        head = response_head(status, len(body), False, headers)
+        self.api.pace.call(self, CALL_UNITS, partial(self.send, head, body, close=True))
+
+    def continue_input(self):
+        """Called after an answer that has waited; further input is discarded."""
 
 
 class AdminApi:
@@ -86,6 +96,7 @@
             whether the call is known. None outside of a fleet.
         max_body_bytes: Maximum size of a call's body.
         connections: The open connections, as keys.
+        pace: The `ResponsePace` of all answers.
         server: The asyncio server; None until `listen`.
     """
 
@@ -97,6 +108,7 @@
         self.handle_component_call = None
         self.max_body_bytes = MAX_BODY_BYTES
         self.connections = {}
+        self.pace = ResponsePace(batch)
         self.server = None
 
     async def listen(self, loop, host, port):
--- a/grebedyke/wire/client_admission.py
+++ b/grebedyke/wire/client_admission.py
@@ -7,7 +7,7 @@
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 from grebedyke.wire.message_memory import BYTES_PER_KB, MessageMemory
 from grebedyke.wire.peer_counts import PeerCounts
-from grebedyke.wire.response_pace import ResponsePace
+from grebedyke.wire.response_pace import CALL_BACK_UNITS_PER_INTERVAL, ResponsePace
 
 # Refused messages of one address between two reports that are worth a log line.
 FLOOD_MESSAGES = 200
@@ -24,6 +24,7 @@
         memory: The `MessageMemory` of incomplete messages and of the bodies of open requests.
         unread: The `MessageMemory` of answers that clients have not read, with the same bound.
         pace: The `ResponsePace` of messages that are no requests.
+        call_back_pace: The `ResponsePace` of acknowledgements to call-backs about this node's requests.
         refused: The `PeerCounts` of refused messages since the last report.
     """
 
@@ -33,6 +34,7 @@
         self.memory = memory
         self.unread = MessageMemory(memory.max_bytes)
         self.pace = ResponsePace(batch)
+        self.call_back_pace = ResponsePace(batch, CALL_BACK_UNITS_PER_INTERVAL)
         self.refused = PeerCounts()
 
     # Memory of messages.
@@ -95,6 +97,7 @@
         self.memory.update(connection, 0)
         self.unread.update(connection, 0)
         self.pace.forget(connection)
+        self.call_back_pace.forget(connection)
         self.metrics.count(connection.end_reason)
         request_trace.connection_ended(connection)
 
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -12,7 +12,7 @@
 from grebedyke.wire.request_headers import UNIQUE_REQUEST_HEADERS
 from grebedyke.wire.response_pace import CONNECTION_UNITS
 from grebedyke.wire.tcp_state import is_closed_by_peer
-from grebedyke.wire.work_allowance import IMMEDIATE_RESPONSE_UNITS, WorkAllowance
+from grebedyke.wire.work_allowance import CALL_BACK_UNITS, IMMEDIATE_RESPONSE_UNITS, WorkAllowance
 
 # Shared buffer for data that a client sends after an open request; the data is read and discarded.
 DISCARD_BUFFER = memoryview(bytearray(1 << 18))
@@ -269,6 +269,13 @@
         respond = partial(self._respond_at_turn, status, body, headers, close)
         self.listener.admission.pace.call(self, units, respond)
 
+    def acknowledge_call_back(self, status):
+        """Responds to a call-back about a job of this node, when it is its turn."""
+        self.awaits_turn = True
+        self.closes_after_turn = False
+        respond = partial(self._respond_at_turn, status, b"", "", False)
+        self.listener.admission.call_back_pace.call(self, CALL_BACK_UNITS, respond)
+
     def _respond_at_turn(self, status, body, headers, close):
         self.awaits_turn = False
         self.respond(status, body, headers, close)
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -176,7 +176,7 @@
         # Acknowledged even if invalid, because the executor would repeat it otherwise.
         if update and self.is_request_known(update.request_id):
             connection.allowance.refund(IMMEDIATE_RESPONSE_UNITS - CALL_BACK_UNITS)
-            connection.respond(204)
+            connection.acknowledge_call_back(204)
         else:
             connection.respond_in_turn(204)
 
--- a/grebedyke/wire/response_pace.py
+++ b/grebedyke/wire/response_pace.py
@@ -14,6 +14,9 @@
 
 # Units of work in an interval for all connections together, those of four single ones.
 UNITS_PER_INTERVAL = 256
+# The same for call-backs about jobs of this node, 4,000 of them a second. They have a pace of their own
+# and count at once; only their acknowledgements wait.
+CALL_BACK_UNITS_PER_INTERVAL = 64
 # Units for the set-up and the end of a connection, charged with its first message.
 CONNECTION_UNITS = 32
 
@@ -37,6 +40,7 @@
 
     Attributes:
         batch: The node's `BatchLoop`.
+        units_per_interval: Units of work in an interval.
         left: Units left in this interval; negative if the last call took more than were left.
         refilled_at: Start of this interval, in ticks.
         waiting: The `_Turn` of each waiting connection, in the order of their arrival.
@@ -44,9 +48,10 @@
         longest_wait: The longest of these waits in ticks.
     """
 
-    def __init__(self, batch):
+    def __init__(self, batch, units_per_interval=UNITS_PER_INTERVAL):
         self.batch = batch
-        self.left = UNITS_PER_INTERVAL
+        self.units_per_interval = units_per_interval
+        self.left = units_per_interval
         self.refilled_at = 0
         self.waiting = {}
         self.delayed = 0
@@ -84,7 +89,7 @@
         intervals = (now - self.refilled_at) // INTERVAL
         if intervals > 0:
             self.refilled_at = now
-            self.left = min(self.left + intervals * UNITS_PER_INTERVAL, UNITS_PER_INTERVAL)
+            self.left = min(self.left + intervals * self.units_per_interval, self.units_per_interval)
 
     def _set_timer(self):
         if self._timer is None:
--- a/tests/flood_scene.py
+++ b/tests/flood_scene.py
@@ -96,8 +96,9 @@
     Attributes:
         address: Host and port of the node's client listener.
         executors: The executors.
-        program: The `Program`.
-        log_lines: The node's log lines so far.
+        program: The `Program` that serves.
+        predecessor: The `Program` that served before a hot restart; None without one.
+        log_lines: The node's log lines so far, of all its processes.
     """
 
     def __init__(self, folder, **changes):
@@ -106,28 +107,42 @@
         self.address = "127.0.0.1", free_port()
         self.executors = []
         self.program = None
+        self.predecessor = None
+        self._content = None
         self.log_lines = []
-        self._reading = None
+        self._reading = []
         self._idle = []
         self._floods = []
 
     async def __aenter__(self):
         for number in range(EXECUTOR_COUNT):
             self.executors.append(await FinishingExecutor(f"s-{number}", self.address).start())
-        content = node_files.node_file(
+        self._content = node_files.node_file(
             listen="%s:%d" % self.address,
             settings=SETTINGS,
             counts=1,
+            folder=str(self.folder),
             known={"index": 1, "endpoints": [executor.row() for executor in self.executors]},
             **self.changes,
         )
-        self.program = Program(self.folder, content)
-        self._reading = asyncio.create_task(asyncio.to_thread(self._read_log))
-        await self.until_logged("-> serving")
+        await self._start_process()
         return self
 
-    def _read_log(self):
-        self.log_lines.extend(iter(self.program.process.stderr.readline, ""))
+    async def _start_process(self):
+        lines_before = len(self.log_lines)
+        self.program = Program(self.folder, self._content)
+        self._reading.append(asyncio.create_task(asyncio.to_thread(self._read_log, self.program)))
+        await until(lambda: "-> serving" in "".join(self.log_lines[lines_before:]), "serving")
+
+    def _read_log(self, program):
+        for line in iter(program.process.stderr.readline, ""):
+            self.log_lines.append(line)
+
+    async def start_successor(self):
+        """Starts a second process of the node, which serves beside the first one."""
+        self.predecessor = self.program
+        await self._start_process()
+        await self.until_logged("a new process is serving alongside this one")
 
     async def until_logged(self, text):
         """Waits until a log line has a text."""
@@ -137,9 +152,12 @@
         for flood in self._floods:
             flood.kill()
             flood.wait()
-        self.program.process.kill()
-        await self._reading
-        self.program.__exit__()
+        programs = [program for program in (self.predecessor, self.program) if program]
+        for program in programs:
+            program.process.kill()
+        await asyncio.gather(*self._reading)
+        for program in programs:
+            program.__exit__()
         for _, writer in self._idle:
             writer.close()
         for executor in self.executors:
@@ -206,8 +224,8 @@
         fields = Path(f"/proc/{self.program.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
-    def memory_kb(self):
-        """Returns the node's resident memory and its peak, in kB."""
-        status = Path(f"/proc/{self.program.process.pid}/status").read_text()
+    def memory_kb(self, program=None):
+        """Returns a process's resident memory and its peak, in kB; by default those of the serving one."""
+        status = Path(f"/proc/{(program or self.program).process.pid}/status").read_text()
         sizes = dict(line.split(":", 1) for line in status.splitlines())
         return int(sizes["VmRSS"].split()[0]), int(sizes["VmHWM"].split()[0])
--- a/tests/test_admin_api.py
+++ b/tests/test_admin_api.py
@@ -1,12 +1,16 @@
 """The admin API and the effects of a ban on an endpoint."""
 
 from helpers import dispatcher, rows, take_actions
+from manual_clock import ManualClock
 from socketless_node import NOW, REQUEST, SocketlessNode, connect, receive
 
 from grebedyke.model.actions import Forward
 from grebedyke.model.outcome import Outcome
-from grebedyke.service.admin_api import CONNECTION_TIMEOUT, AdminApi, AdminConnection
+from grebedyke.service.admin_api import CALL_UNITS, CONNECTION_TIMEOUT, AdminApi, AdminConnection
+from grebedyke.wire.response_pace import UNITS_PER_INTERVAL
+from grebedyke.wire.work_allowance import INTERVAL
 
+UNLIMITED_UNITS = 1 << 40
 READY_CALL = b"GET /v1/readyz HTTP/1.1\r\n\r\n"
 
 
@@ -20,7 +24,7 @@
         api: The `AdminApi`.
     """
 
-    def __init__(self, max_connections=9):
+    def __init__(self, max_connections=9, is_paced=False):
         self.node = SocketlessNode()
         real_dispatcher = dispatcher()
         real_dispatcher.endpoints_changed(NOW, True, rows("s-1", "s-2"))
@@ -29,6 +33,9 @@
         self.is_ready = True
         set_banned = self.node.host.endpoint_updates.set_banned
         self.api = AdminApi(self.node.batch, lambda: self.is_ready, set_banned, max_connections)
+        if not is_paced:
+            # On a fixed clock the pace would end after a few calls.
+            self.api.pace.left = self.api.pace.refilled_at = UNLIMITED_UNITS
 
     def connect(self, data):
         """Returns a new connection that has received `data`."""
@@ -197,3 +204,20 @@
     node.host.endpoint_updates.set_banned(NOW, "s-1", True)
     assert REQUEST.endswith(b"abc") and node.connections[0].transport.written.endswith(b"abc")
     assert not node.attempt_ends()
+
+
+# Guards against: calls on ever new connections to the operators' address took the whole processor.
+def test_calls_are_answered_at_a_bounded_pace():
+    harness = AdminApiHarness(max_connections=99, is_paced=True)
+    clock = ManualClock(harness.node)
+    clock.advance(harness.node, 1)
+    allowed = -(-UNITS_PER_INTERVAL // CALL_UNITS)
+    transports = [harness.call(READY_CALL) for _ in range(3 * allowed)]
+
+    def answered():
+        return sum(transport.written.startswith(b"HTTP/1.1 200") for transport in transports)
+
+    for interval in range(1, 4):
+        assert allowed * (interval - 1) < answered() <= allowed * interval
+        clock.advance(harness.node, INTERVAL)
+    assert answered() == len(transports)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import signal
 import weakref
 
 import pytest
@@ -70,6 +71,32 @@
     assert not figures.failed
 
 
+# Guards against: what holds for a serving node does not hold while another process takes over, or at the end.
+@pytest.mark.parametrize(("kind", "mode"), [("malformed", Mode.ANSWERED), ("new-names", Mode.KEPT)])
+def test_flood_during_a_hot_restart_and_a_shutdown_fails_no_request(tmp_path, kind, mode):
+    async def scenario():
+        limits = {"sockets": 1024, "memory_mb": MEMORY_LIMIT_MB}
+        async with FloodScene(tmp_path, limits=limits) as scene:
+            flood = scene.flood(kind, mode, 2 * FLOOD_S, 20)
+            measuring = asyncio.create_task(scene.measure(FLOOD_S, "m"))
+            await asyncio.sleep(1)
+            await scene.start_successor()
+            peak_kb = scene.memory_kb(scene.predecessor)[1]
+            scene.predecessor.process.send_signal(signal.SIGTERM)
+            figures = await measuring
+            print(kind, mode, figures, f"predecessor {peak_kb} kB")
+            assert await scene.predecessor.exit_code() == 0
+            assert peak_kb / 1000 < MEMORY_LIMIT_MB
+            assert_within_memory_limit(figures)
+            assert not figures.failed
+            # The flood goes on.
+            scene.program.process.send_signal(signal.SIGTERM)
+            assert await scene.program.exit_code() == 0
+            flood.kill()
+
+    asyncio.run(scenario())
+
+
 def assert_freed(references, what):
     """Checks that all objects are freed without a run of the garbage collector."""
     kept = sum(reference() is not None for reference in references)
--- a/tests/test_response_pace.py
+++ b/tests/test_response_pace.py
@@ -10,8 +10,13 @@
 from test_floods import FLOOD_S, MANY_CONNECTIONS, flooded_figures
 
 from grebedyke.model.actions import Forward
+from grebedyke.model.events import AttemptProgressed
 from grebedyke.units import TICKS_PER_SECOND
-from grebedyke.wire.response_pace import CONNECTION_UNITS, UNITS_PER_INTERVAL
+from grebedyke.wire.response_pace import (
+    CALL_BACK_UNITS_PER_INTERVAL,
+    CONNECTION_UNITS,
+    UNITS_PER_INTERVAL,
+)
 from grebedyke.wire.work_allowance import IMMEDIATE_RESPONSE_UNITS, INTERVAL
 
 MALFORMED = b"POST /op/k HTTP/1.1\r\n\r\n"
@@ -90,6 +95,21 @@
     assert 0 < answers <= intervals * UNITS_PER_INTERVAL // IMMEDIATE_RESPONSE_UNITS + 1
 
 
+# Guards against: call-backs about a request that their sender has opened itself were not bounded in sum.
+def test_call_backs_about_open_requests_are_acknowledged_at_a_pace_and_count_at_once():
+    crowd = Crowd()
+    crowd.send(REQUEST)
+    crowd.node.act(Forward(b"r1", "s-1", 9_000))
+    message = call_back_message("running")
+    callers = [receive(crowd.node.client(), message) for _ in range(2 * CALL_BACK_UNITS_PER_INTERVAL)]
+    crowd.node.run()
+    assert crowd.answered(callers) == CALL_BACK_UNITS_PER_INTERVAL
+    reported = [event for event in crowd.node.dispatcher.events if isinstance(event, AttemptProgressed)]
+    assert len(reported) == len(callers)
+    crowd.clock.advance(crowd.node, INTERVAL)
+    assert crowd.answered(callers) == len(callers)
+
+
 def test_all_that_can_be_connected_are_answered_in_time():
     crowd = Crowd()
     clients = [crowd.send(MALFORMED) for _ in range(MAX_CONNECTIONS - 10)]
