Accept as before: sixteen set-ups in a pass, and a queue of 1,024

Queue of 4,096: the longer queue is full more rarely, but what stands in it waits.

sock.setblocking is left out for connections that are dropped.

--- a/grebedyke/wire/connection_acceptor.py
+++ b/grebedyke/wire/connection_acceptor.py
@@ -10,15 +10,13 @@
 from grebedyke.wire.request_headers import CALL_BACK_PATH
 from grebedyke.wire.tcp_state import is_closed_by_peer, unread_bytes
 
-# Connections set up in one pass of the event loop: requests on open connections need several passes.
-SETUPS_PER_PASS = 4
-# Silent connections closed after a pause at the limit on descriptors.
-EVICTIONS_PER_PAUSE = 16
+# Connections set up in one pass of the event loop.
+SETUPS_PER_PASS = 16
 # Connections taken from the accept queue in one pass, including those whose peer has closed them again.
 ACCEPTS_PER_PASS = 256
 # Length of the kernel's accept queue, which fills while a batch runs. The kernel repeats a connect that
 # finds it full a second later.
-ACCEPT_BACKLOG = 4_096
+ACCEPT_BACKLOG = 1_024
 CALL_BACK_START = b"POST " + CALL_BACK_PATH
 
 
@@ -74,6 +72,7 @@
                 self.batch.metrics.count(ConnectionEnd.UNREAD)
                 sock.close()
                 continue
+            sock.setblocking(False)
             self._in_setup += 1
             self._loop.create_task(self._set_up(sock))
             setups_left -= 1
@@ -91,7 +90,6 @@
                 logger.error("cannot accept connection: {why}", event="loop-fault", why=problem.strerror)
             self._pause()
             return None
-        sock.setblocking(False)
         return sock
 
     async def _set_up(self, sock):
@@ -115,7 +113,7 @@
     def _resume(self, now):
         # Runs in a batch, so data that clients have sent before is read first.
         if self.server:
-            self.connections.evict_silent(now, EVICTIONS_PER_PAUSE)
+            self.connections.evict_silent(now, SETUPS_PER_PASS)
             self._loop.add_reader(self.server, self.accept)
 
     async def adopt(self, descriptor, proven, is_executor):
