Draw ports for servers one thread at a time

Cause: PortPool reads the place of the next port, calls len(), and uses it; between the two another thread may draw the same port. Nothing else binds ports of a locked block. Forced by a list whose length takes 0.1 ms, threads draw a port twice; whether the failed run was this was not traced further, as its other thread kept no record.

Change: a lock around the draw. Test: test_threads_of_one_process_draw_different_ports fails without it.

--- a/grebedyke/emulators/ports.py
+++ b/grebedyke/emulators/ports.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import tempfile
+import threading
 from functools import cache
 from pathlib import Path
 
@@ -26,6 +27,7 @@
     """
 
     def __init__(self):
+        self._mutex = threading.Lock()  # fleets in threads of one process draw at the same time
         self._locks = []
         self._ports = []
         self._drawn_count = 0
@@ -37,7 +39,8 @@
             OSError: No port is free.
         """
         for _ in range(MAX_BLOCKS * PORTS_PER_BLOCK):
-            port = self._next_port()
+            with self._mutex:
+                port = self._next_port()
             if _is_free(host, port):
                 return port
         raise OSError(f"no port is free at {host}")
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -3,7 +3,7 @@
 import socket
 import subprocess
 import sys
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from multiprocessing import get_context
 from time import sleep
 
@@ -63,3 +63,20 @@
 def free_ports(count):
     sleep(0.2)  # So that each process of the pool gets one of the calls.
     return [free_port() for _ in range(count)]
+
+
+class SlowList(list):
+    """A list during whose calls another thread runs, as may happen at any call."""
+
+    def __len__(self):
+        sleep(0.0001)
+        return super().__len__()
+
+
+# Guards against: two fleets in threads of one process got the same port, and one ended with "address in use".
+def test_threads_of_one_process_draw_different_ports():
+    pool = PortPool()
+    pool._ports = SlowList()
+    with ThreadPoolExecutor(8) as threads:
+        ports = list(threads.map(lambda _: pool.draw("127.0.0.1"), range(2 * PORTS_PER_BLOCK)))
+    assert len({*ports}) == len(ports)
