Bound a list of discovery by the memory limit

A list may have 16 MB whatever the memory limit; its rows as objects take some eight times that. Measured in a process of its own: a list of 14.4 MB (110,000 executors) peaks at 164 MB before the node has an entry for any of them; the operators' limit is 192 MB. One of 3,200 executors has 0.4 MB.

Change: a list has at most a forty-eighth of limits.memory_mb, 4 MB at 192 MB (some 30,000 executors), and 16 MB as before. A larger one is rejected while it arrives, as an invalid response; the node goes on with its list and polls again.

Test: test_list_larger_than_the_memory_limit_allows...; without the bound the connection stays open.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -19,7 +19,7 @@
 from grebedyke.service.reload import adopt_settings
 from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.client_listener import ClientListener
-from grebedyke.wire.discovery_client import DiscoveryClient
+from grebedyke.wire.discovery_client import DiscoveryClient, max_list_bytes
 from grebedyke.wire.executor_pool import ExecutorPool
 from grebedyke.wire.message_memory import MessageMemory, max_message_bytes
 from grebedyke.wire.peer_socket import PeerSocket
@@ -137,6 +137,7 @@
         settings.discovery,
         on_list=endpoint_updates.on_list,
         on_failure=endpoint_updates.on_list_unavailable,
+        max_list_bytes=max_list_bytes(configuration["limits"]["memory_mb"]),
     )
 
 
--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -11,6 +11,7 @@
 from grebedyke.wire.connection import Connection
 from grebedyke.wire.endpoint_rows import parse_endpoint_rows
 from grebedyke.wire.http_messages import request_head
+from grebedyke.wire.message_memory import BYTES_PER_MB
 
 LIST_TARGET = b"/discovery/hosts"
 # Ticks between an immediate answer without changes and the next poll, which must follow within 200 ms.
@@ -20,12 +21,23 @@
 MAX_QUICK_ANSWERS = 20
 # Ticks for which the answer to a timed-out poll is still accepted.
 LATE_ANSWER_TIME = TICKS_PER_SECOND
-# A complete list can be far larger than the body of a job.
+# A complete list can be far larger than the body of a job. Its objects take some eight times its bytes.
 MAX_LIST_BYTES = 16 << 20
+# Share of the node's memory limit for the bytes of a list.
+LIST_SHARE = 1 / 48
 # Maximum number of doublings of the retry delay.
 MAX_DOUBLINGS = 8
 
 
+def max_list_bytes(memory_mb):
+    """Returns the maximum size of a list in bytes for a node with a memory limit in MB.
+
+    >>> max_list_bytes(192), max_list_bytes(4_000) == MAX_LIST_BYTES
+    (4000000, True)
+    """
+    return min(int(memory_mb * BYTES_PER_MB * LIST_SHARE), MAX_LIST_BYTES)
+
+
 class DiscoverySettings(NamedTuple):
     """Timing of the discovery client, in ticks.
 
@@ -51,7 +63,7 @@
     """
 
     def __init__(self, client):
-        super().__init__(client.batch.touch, reads_responses=True, max_body_bytes=MAX_LIST_BYTES)
+        super().__init__(client.batch.touch, reads_responses=True, max_body_bytes=client.max_list_bytes)
         self.client = client
 
     def process_input(self):
@@ -87,6 +99,7 @@
         address: Host and port of discovery.
         version: Version of this node's list, None to request the complete list.
         settings: The current `DiscoverySettings`.
+        max_list_bytes: Maximum size of an answer's body.
         on_list: Queued for the next batch; called with the time, whether the rows are the complete list, and
             the list of `ListedEndpoint`.
         on_failure: Queued for the next batch; called with the time after each failed poll.
@@ -104,12 +117,15 @@
         first_result: Set on the first answer or failure.
     """
 
-    def __init__(self, loop, batch, address, version, settings, *, on_list, on_failure):
+    def __init__(
+        self, loop, batch, address, version, settings, *, on_list, on_failure, max_list_bytes=MAX_LIST_BYTES
+    ):
         self.loop = loop
         self.batch = batch
         self.address = address
         self.version = version
         self.settings = settings
+        self.max_list_bytes = max_list_bytes
         self.on_list = on_list
         self.on_failure = on_failure
         self.connection = None
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -13,6 +13,7 @@
     DiscoveryClient,
     DiscoveryConnection,
     DiscoverySettings,
+    max_list_bytes,
 )
 
 SETTINGS = DiscoverySettings(
@@ -115,6 +116,30 @@
     assert sent.count(b"GET ") == count + 1
 
 
+# Guards against: a list of 16 MB, which discovery may send by a defect, took a node over its memory limit.
+def test_list_larger_than_the_memory_limit_allows_is_rejected_while_it_arrives():
+    loop = FakeEventLoop()
+    recorder = CallRecorder()
+    client = client_of(loop, recorder)
+    client.max_list_bytes = max_list_bytes(64)
+    client.connection = connect(DiscoveryConnection(client))
+    client.poll()
+    connection = client.connection
+    chunk = b"1000\r\n" + b" " * 0x1000 + b"\r\n"
+    receive(connection, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    most_held = 0
+    for _ in range(2 * client.max_list_bytes // 0x1000):
+        if connection.transport.closing:
+            break
+        receive(connection, chunk)
+        most_held = max(most_held, len(connection.parser.body))
+    assert connection.transport.closing and most_held <= client.max_list_bytes
+    connection.connection_lost(None)
+    loop.run_ready()
+    assert not client.polling and not [call for call in recorder.calls if call[0] == "listed"]
+    (timer,) = [timer for timer in client.batch.timers if timer.call == client.poll]  # it goes on polling
+
+
 def test_row_without_valid_address_does_not_affect_others():
     rows = [{**LISTED_ROW, "name": "s-0", "address": "?"}, LISTED_ROW]
     _, calls, _ = answer_polls({"index": 42, "snapshot": True, "endpoints": rows})
