--- a/grebedyke/service/admin_api.py
+++ b/grebedyke/service/admin_api.py
@@ -74,7 +74,7 @@
             self.api.handle(self, request)
 
     def answer(self, status, text, headers=""):
-        """Answers the call with a line of text, when it is its turn, and closes the connection."""
+        """Answers the call with a line of text, as soon as the pace allows it, and closes the connection."""
         body = text.encode() + b"\n"
         head = response_head(status, len(body), False, headers)
         self.api.pace.call(self, CALL_UNITS, partial(self.send, head, body, close=True))
--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -129,7 +129,7 @@
 
 def _discovery_client(core, configuration, settings):
     endpoint_updates = core.host.endpoint_updates
-    return DiscoveryClient(
+    client = DiscoveryClient(
         core.loop,
         core.batch,
         tuple(configuration["discovery"]),
@@ -137,8 +137,9 @@
         settings.discovery,
         on_list=endpoint_updates.on_list,
         on_failure=endpoint_updates.on_list_unavailable,
-        max_list_bytes=max_list_bytes(configuration["limits"]["memory_mb"]),
     )
+    client.max_list_bytes = max_list_bytes(configuration["limits"]["memory_mb"])
+    return client
 
 
 def _read_gauges(batch, dispatcher, listener):
--- a/grebedyke/wire/client_admission.py
+++ b/grebedyke/wire/client_admission.py
@@ -117,7 +117,7 @@
     def _log_flood(self, address, count):
         logger.warning(
             "clients of {address} sent {count} messages that were refused; "
-            "{delayed} answers to all clients waited for their turn, up to {wait_ms} ms",
+            "{delayed} answers to all clients were held back, for up to {wait_ms} ms",
             event="flood",
             address=address,
             count=count,
--- a/grebedyke/wire/client_connection.py
+++ b/grebedyke/wire/client_connection.py
@@ -49,8 +49,8 @@
         body_bytes: Length of the body of the last message.
         peer_host: Address of the peer without its port, for the log.
         end_reason: The `ConnectionEnd`, if the connection ended now.
-        awaits_turn: Whether the response to its last message waits for its turn; see `ResponsePace`.
-        closes_after_turn: Whether that response is the last one.
+        has_delayed_response: Whether the response to its last message is held back; see `ResponsePace`.
+        closes_after_delayed: Whether that response is the last one.
         setup_units: Units of work for the connection itself that are not charged yet.
         unread_since: Time in ticks since which the kernel has not accepted all written bytes; None if it has.
         timers: The timers set for this connection, cancelled when it ends.
@@ -73,8 +73,8 @@
         self.body_bytes = 0
         self.peer_host = "-"
         self.end_reason = ConnectionEnd.BY_PEER
-        self.awaits_turn = False
-        self.closes_after_turn = False
+        self.has_delayed_response = False
+        self.closes_after_delayed = False
         self.setup_units = CONNECTION_UNITS
         self.unread_since = None
         self.timers = []
@@ -186,7 +186,12 @@
 
     def _can_handle_message(self):
         """Returns whether a further message may be handled now; otherwise its bytes wait."""
-        if self.open_request is not None or self.is_ending() or self.awaits_turn or not self.fully_written:
+        if (
+            self.open_request is not None
+            or self.is_ending()
+            or self.has_delayed_response
+            or not self.fully_written
+        ):
             return False
         wait = self.allowance.wait_time()
         if wait and not self._waits_for_allowance:
@@ -260,32 +265,32 @@
             self.end_reason = ConnectionEnd.DONE
         self.send(response_head(status, len(body), not close, headers), body, close)
 
-    def respond_in_turn(self, status, body=b"", headers="", close=False):
-        """Responds to a message that is no request, when it is its turn; see `respond` and `ResponsePace`."""
+    def respond_paced(self, status, body=b"", headers="", close=False):
+        """Responds to a message that is no request, as soon as `ResponsePace` allows it; see `respond`."""
         units = IMMEDIATE_RESPONSE_UNITS + self.setup_units
         self.setup_units = 0
-        self.awaits_turn = True
-        self.closes_after_turn = close
-        respond = partial(self._respond_at_turn, status, body, headers, close)
+        self.has_delayed_response = True
+        self.closes_after_delayed = close
+        respond = partial(self._respond_now, status, body, headers, close)
         self.listener.admission.pace.call(self, units, respond)
 
     def acknowledge_call_back(self, status):
-        """Responds to a call-back about a job of this node, when it is its turn."""
-        self.awaits_turn = True
-        self.closes_after_turn = False
-        respond = partial(self._respond_at_turn, status, b"", "", False)
+        """Responds to a call-back about a job of this node, as soon as `ResponsePace` allows it."""
+        self.has_delayed_response = True
+        self.closes_after_delayed = False
+        respond = partial(self._respond_now, status, b"", "", False)
         self.listener.admission.call_back_pace.call(self, CALL_BACK_UNITS, respond)
 
-    def _respond_at_turn(self, status, body, headers, close):
-        self.awaits_turn = False
+    def _respond_now(self, status, body, headers, close):
+        self.has_delayed_response = False
         self.respond(status, body, headers, close)
         if close:
             self._call_later(LINGER_TIME, self._close_at)
 
     def refuse_message(self, status, body=b"", headers="", close=False):
-        """Answers a message that is no sound request with an error status; see `respond_in_turn`."""
+        """Answers a message that is no sound request with an error status; see `respond_paced`."""
         self.listener.admission.message_refused(self, status)
-        self.respond_in_turn(status, body, headers, close)
+        self.respond_paced(status, body, headers, close)
 
     def refuse_overdue_message(self):
         """Answers that the message was not complete in time, and closes the connection."""
@@ -341,8 +346,8 @@
         self.timers.append(self.listener.batch.call_later(wait, call))
 
     def is_ending(self):
-        """Returns whether its last response is queued, or waits for its turn."""
-        return self.closes_when_flushed or (self.awaits_turn and self.closes_after_turn)
+        """Returns whether its last response is queued or held back."""
+        return self.closes_when_flushed or (self.has_delayed_response and self.closes_after_delayed)
 
     def is_closed(self):
         """Returns whether the connection is closed or closing."""
@@ -364,7 +369,7 @@
 
         It must have no partly read message, no open request and no unwritten data.
         """
-        if self.open_request is not None or self.is_ending() or self.awaits_turn:
+        if self.open_request is not None or self.is_ending() or self.has_delayed_response:
             return False
         if self.parser.has_partial_message():
             return False
--- a/grebedyke/wire/client_listener.py
+++ b/grebedyke/wire/client_listener.py
@@ -155,7 +155,7 @@
         elif request.method != allowed_method:
             connection.refuse_message(405, headers=f"Allow: {allowed_method.decode()}\r\n")
         elif path == HEALTH_PATH:
-            connection.respond_in_turn(200 if self.has_listened and not self.stopping else 503)
+            connection.respond_paced(200 if self.has_listened and not self.stopping else 503)
         elif path == CALL_BACK_PATH:
             self._handle_call_back(connection, request.body)
         else:
@@ -178,7 +178,7 @@
             connection.allowance.refund(IMMEDIATE_RESPONSE_UNITS - CALL_BACK_UNITS)
             connection.acknowledge_call_back(204)
         else:
-            connection.respond_in_turn(204)
+            connection.respond_paced(204)
 
     def _parse_call_back(self, body):
         """Returns the `JobUpdate` of a call-back, None if it is invalid."""
--- a/grebedyke/wire/connection_table.py
+++ b/grebedyke/wire/connection_table.py
@@ -161,7 +161,7 @@
             connection
             for connection, since in self.incomplete.items()
             if now - since > (message_timeout if connection.proven else FIRST_MESSAGE_TIMEOUT)
-            and not (connection.is_ending() or connection.awaits_turn)
+            and not (connection.is_ending() or connection.has_delayed_response)
         ]
 
     def is_busy(self):
--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -117,15 +117,13 @@
         first_result: Set on the first answer or failure.
     """
 
-    def __init__(
-        self, loop, batch, address, version, settings, *, on_list, on_failure, max_list_bytes=MAX_LIST_BYTES
-    ):
+    def __init__(self, loop, batch, address, version, settings, *, on_list, on_failure):
         self.loop = loop
         self.batch = batch
         self.address = address
         self.version = version
         self.settings = settings
-        self.max_list_bytes = max_list_bytes
+        self.max_list_bytes = MAX_LIST_BYTES
         self.on_list = on_list
         self.on_failure = on_failure
         self.connection = None
--- a/grebedyke/wire/response_pace.py
+++ b/grebedyke/wire/response_pace.py
@@ -21,7 +21,7 @@
 CONNECTION_UNITS = 32
 
 
-class _Turn(NamedTuple):
+class _DelayedCall(NamedTuple):
     """A call that waits.
 
     Attributes:
@@ -43,7 +43,7 @@
         units_per_interval: Units of work in an interval.
         left: Units left in this interval; negative if the last call took more than were left.
         refilled_at: Start of this interval, in ticks.
-        waiting: The `_Turn` of each waiting connection, in the order of their arrival.
+        waiting: The `_DelayedCall` of each waiting connection, in the order of their arrival.
         delayed: Number of calls that had to wait, since the last `clear_record`.
         longest_wait: The longest of these waits in ticks.
     """
@@ -59,7 +59,7 @@
         self._timer = None
 
     def call(self, connection, units, call):
-        """Calls `call()` as soon as it is the connection's turn.
+        """Calls `call()` as soon as the pace allows it.
 
         Args:
             connection: The connection; it waits for one call at a time, and handles its input afterwards.
@@ -71,7 +71,7 @@
             self.left -= units
             call()
             return
-        self.waiting[connection] = _Turn(units, call, self.batch.clock())
+        self.waiting[connection] = _DelayedCall(units, call, self.batch.clock())
         self.delayed += 1
         self._set_timer()
 
@@ -100,10 +100,10 @@
         self._refill()
         while self.waiting and self.left > 0:
             connection = next(iter(self.waiting))
-            turn = self.waiting.pop(connection)
-            self.left -= turn.units
-            self.longest_wait = max(self.longest_wait, now - turn.since)
-            turn.call()
+            delayed = self.waiting.pop(connection)
+            self.left -= delayed.units
+            self.longest_wait = max(self.longest_wait, now - delayed.since)
+            delayed.call()
             connection.continue_input()
         if self.waiting:
             self._set_timer()
--- a/tests/flood_scene.py
+++ b/tests/flood_scene.py
@@ -5,15 +5,14 @@
 import subprocess
 import sys
 import time
-from contextlib import suppress
 from pathlib import Path
 from typing import NamedTuple
 
 import node_files
-from emulators import ACCEPTED, BlockingClient, ExecutorEmulator, until
+from emulators import BlockingClient, until
+from job_emulators import FinishingExecutor
 from node_harness import SETTINGS
 from program_process import Program
-from socketless_node import call_back_message
 
 from grebedyke.emulators.ports import free_port
 
@@ -24,41 +23,6 @@
 # Seconds after a client's timeout within which a late answer is still read.
 LATE_ANSWER_S = 0.5
 EXECUTOR_COUNT = 4
-CALL_BACK_TRIES = 10
-
-
-class FinishingExecutor(ExecutorEmulator):
-    """Reports success of each job at once, each on a new connection.
-
-    Attributes:
-        node_address: Host and port of the node's client listener.
-        tasks: The call-backs in progress, kept so that they are not garbage-collected.
-    """
-
-    def __init__(self, name, node_address):
-        super().__init__(name)
-        self.node_address = node_address
-        self.tasks = set()
-        self.respond = self._accept_and_finish
-
-    def _accept_and_finish(self, line, headers):
-        if line.startswith(b"POST"):
-            task = asyncio.create_task(self._call_back(headers[b"x-request-id"].decode()))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-        return ACCEPTED
-
-    async def _call_back(self, request_id):
-        message = call_back_message("done", self.name, request_id, ',"result":"r"')
-        for _ in range(CALL_BACK_TRIES):
-            with suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(*self.node_address)
-                try:
-                    writer.write(message)
-                    await reader.readuntil(b"\r\n\r\n")
-                    return
-                finally:
-                    writer.close()
 
 
 class Figures(NamedTuple):
--- a/tests/job_emulators.py
+++ b/tests/job_emulators.py
@@ -1,7 +1,9 @@
 """Executor emulators that accept and run jobs, and clients that send a single message."""
 
 import asyncio
+from contextlib import suppress
 
+from emulators import ExecutorEmulator
 from socketless_node import call_back_message
 
 ACCEPTED = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
@@ -12,6 +14,7 @@
 # Running time of a job in seconds.
 JOB_DURATION_S = 0.1
 MAX_CONCURRENT_JOBS = 2
+CALL_BACK_TRIES = 10
 
 
 async def send_message(address, data, connection=None):
@@ -115,3 +118,37 @@
             await asyncio.sleep(JOB_DURATION_S)
             load = ',"result":"x","load":{"x0":1}'
             await send_message(node, call_back_message("done", self.name, request_id, load))
+
+
+class FinishingExecutor(ExecutorEmulator):
+    """Reports success of each job at once, each on a new connection.
+
+    Attributes:
+        node_address: Host and port of the node's client listener.
+        tasks: The call-backs in progress, kept so that they are not garbage-collected.
+    """
+
+    def __init__(self, name, node_address):
+        super().__init__(name)
+        self.node_address = node_address
+        self.tasks = set()
+        self.respond = self._accept_and_finish
+
+    def _accept_and_finish(self, line, headers):
+        if line.startswith(b"POST"):
+            task = asyncio.create_task(self._call_back(headers[b"x-request-id"].decode()))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        return ACCEPTED
+
+    async def _call_back(self, request_id):
+        message = call_back_message("done", self.name, request_id, ',"result":"r"')
+        for _ in range(CALL_BACK_TRIES):
+            with suppress(OSError, asyncio.IncompleteReadError):
+                reader, writer = await asyncio.open_connection(*self.node_address)
+                try:
+                    writer.write(message)
+                    await reader.readuntil(b"\r\n\r\n")
+                    return
+                finally:
+                    writer.close()
--- a/tests/test_descriptor_limits.py
+++ b/tests/test_descriptor_limits.py
@@ -7,15 +7,14 @@
 import node_files
 import pytest
 from emulators import (
-    ACCEPTED,
     BlockingClient,
     DiscoveryEmulator,
-    ExecutorEmulator,
     until,
 )
+from job_emulators import FinishingExecutor
 from node_harness import SETTINGS
 from program_process import Program
-from socketless_node import REQUEST, SocketlessNode, call_back_message, receive
+from socketless_node import REQUEST, SocketlessNode, receive
 
 from grebedyke.emulators.ports import free_port
 
@@ -23,39 +22,6 @@
 KNOWN_AFTER = 6.0
 
 
-class FinishingExecutor(ExecutorEmulator):
-    """Reports success of each job immediately.
-
-    Attributes:
-        listener: Host and port of the node's client listener.
-    """
-
-    def __init__(self, name, listener):
-        super().__init__(name)
-        self.listener = listener
-        self.tasks = set()
-        self.respond = self.accept_and_finish
-
-    def accept_and_finish(self, line, headers):
-        if line.startswith(b"POST"):
-            task = asyncio.create_task(self.call_back(headers[b"x-request-id"].decode()))
-            self.tasks.add(task)
-            task.add_done_callback(self.tasks.discard)
-        return ACCEPTED
-
-    async def call_back(self, request_id):
-        # Executors repeat a call-back until it is acknowledged.
-        for _ in range(10):
-            with suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection(*self.listener)
-                writer.write(call_back_message("done", self.name, request_id))
-                try:
-                    await reader.readuntil(b"\r\n\r\n")
-                    return
-                finally:
-                    writer.close()
-
-
 async def succeeds(listener, request_id, open_writers):
     """Returns whether a request is answered with an executor's result; its connections stay open.
 
