Hot restart: the log tells which versions of the endpoint list cross

An update of the endpoint list was a flag and rows; the version that it leads to was kept by the discovery client alone, from the moment of reading. Now an update carries its version (ListUpdate, ListVersion), and EndpointUpdates records which version is applied. Two log lines of a hot restart name what the old process sends, has applied and has read, and what the new one receives. Nothing else changes.

Tests that passed rows and a flag pass an update now; they check the same.

--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -20,6 +20,7 @@
         list_listener: Called after the dispatcher, with the time, whether the rows are the complete list,
             and discovery's rows; may be None.
         exclusions: The `EndpointExclusions`; None outside of a fleet.
+        applied: The `ListVersion` of the list as it is applied; None before the first list.
     """
 
     def __init__(self, dispatcher, pool, attempts):
@@ -29,15 +30,18 @@
         self.unix_time_offset = 0
         self.list_listener = None
         self.exclusions = None
+        self.applied = None
 
-    def on_list(self, now, is_complete, rows):
-        """Applies the endpoint list or a change of it, in discovery's rows."""
+    def on_list(self, now, update):
+        """Applies a `ListUpdate`."""
+        rows = update.rows
         addresses = [EndpointAddress(row.name, row.address, row.state, row.since_ms) for row in rows]
-        self.pool.update_endpoints(is_complete, addresses)
+        self.pool.update_endpoints(update.is_complete, addresses)
         changed = [self._row_with_node_time(row) for row in rows]
-        self.dispatcher.handle(now, EndpointsChanged(is_complete, changed))
+        self.dispatcher.handle(now, EndpointsChanged(update.is_complete, changed))
         if self.list_listener:
-            self.list_listener(now, is_complete, rows)
+            self.list_listener(now, update.is_complete, rows)
+        self.applied = update.version
 
     def _row_with_node_time(self, row):
         # 0 means that the start time is not known.
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -23,6 +23,7 @@
 from grebedyke.wire.discovery_client import DiscoveryClient
 from grebedyke.wire.endpoint_rows import parse_endpoint_rows
 from grebedyke.wire.executor_pool import ExecutorPool
+from grebedyke.wire.list_update import ListUpdate, ListVersion
 from grebedyke.wire.peer_socket import PeerSocket
 
 # Seconds that the start waits for discovery's first answer. If discovery is an agent, it runs on this machine
@@ -175,8 +176,7 @@
         parts = self.parts
         endpoint_updates = parts.host.endpoint_updates
         parts.batch.enqueue(endpoint_updates.on_list_unavailable)
-        known_rows = parse_endpoint_rows(self.configuration["known"])
-        parts.batch.enqueue(endpoint_updates.on_list, True, known_rows)
+        parts.batch.enqueue(endpoint_updates.on_list, self.configured_list())
         # A serving process's state takes precedence: the file's list may be old and has no bans.
         listening_socket = await parts.hot_restart.inherit()
         if self.component_host:
@@ -194,6 +194,12 @@
         await self._check_peer_address()
         return listening_socket
 
+    def configured_list(self):
+        """Returns the endpoint list of the configuration as a `ListUpdate`."""
+        known = self.configuration["known"]
+        version = ListVersion(tuple(self.configuration["discovery"]), known.get("index"))
+        return ListUpdate(version, None, True, parse_endpoint_rows(known))
+
     async def _check_peer_address(self):
         peers = self.parts.peers
         if not peers.open_task:
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -45,11 +45,23 @@
         """Returns the fields of the state message, and the listening socket's descriptor."""
         listing = {"address": self.discovery.address, "index": self.discovery.version}
         state = {"books": self.host.endpoint_updates.export_state(), "listing": listing}
+        logger.info(
+            "the new process gets the state: list version {version}, {applied} applied, {read} read",
+            event="handover-sent",
+            version=listing["index"],
+            applied=self.host.endpoint_updates.applied.number,
+            read=self.discovery.version,
+        )
         return state, self.listener.acceptor.server.fileno()
 
     def _import_state(self, message):
         self.batch.enqueue(self.host.endpoint_updates.import_state, message["books"])
         listing = message["listing"]
+        logger.info(
+            "the old process's state has arrived: list version {version}",
+            event="handover-received",
+            version=listing["index"],
+        )
         # Another discovery service has its own versions.
         is_same_discovery = tuple(listing["address"]) == self.discovery.address
         self.discovery.version = listing["index"] if is_same_discovery else None
--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -11,6 +11,7 @@
 from grebedyke.wire.connection import Connection
 from grebedyke.wire.endpoint_rows import parse_endpoint_rows
 from grebedyke.wire.http_messages import request_head
+from grebedyke.wire.list_update import ListUpdate, ListVersion
 from grebedyke.wire.message_memory import BYTES_PER_MB
 
 LIST_TARGET = b"/discovery/hosts"
@@ -97,11 +98,11 @@
         loop: The event loop.
         batch: The node's batch loop: clock, timers and input queue.
         address: Host and port of discovery.
-        version: Version of this node's list, None to request the complete list.
+        version: Number of the last version that was read, None to request the complete list. The updates up
+            to it are applied or wait for a batch.
         settings: The current `DiscoverySettings`.
         max_list_bytes: Maximum size of an answer's body.
-        on_list: Queued for the next batch; called with the time, whether the rows are the complete list, and
-            the list of `ListedEndpoint`.
+        on_list: Queued for the next batch; called with the time and the `ListUpdate`.
         on_failure: Queued for the next batch; called with the time after each failed poll.
         connection: The current connection, None if there is none.
         connect_task: The task that opens or has opened the connection.
@@ -268,6 +269,7 @@
         self.batch.call_later(POLL_PAUSE, self.poll)
 
     def _accept_list(self, version, is_complete, rows):
+        after = self.version
         self.version = version
         if self.failing:
             logger.info(
@@ -275,7 +277,8 @@
             )
             self.failing = False
         if is_complete or rows:
-            self.batch.enqueue(self.on_list, is_complete, rows)
+            update = ListUpdate(ListVersion(self.address, version), after, is_complete, rows)
+            self.batch.enqueue(self.on_list, update)
         self.first_result.set()
 
     def _poll_again(self, had_changes):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -22,8 +22,11 @@
 from grebedyke.policy.slow_start import SlowStartSettings
 from grebedyke.policy.tenant_quotas import TenantQuotas
 from grebedyke.wire import peer_codec
+from grebedyke.wire.list_update import ListUpdate, ListVersion
 
 HEALTHY = "healthy"
+# Where updates of the endpoint list come from.
+DISCOVERY = ("127.0.0.1", 1)
 
 
 def operation(name, idempotency=Idempotency.IDEMPOTENT, group="zone", window=0):
@@ -178,3 +181,8 @@
     "take_actions",
     "rows",
 ]
+
+
+def list_update(*rows, is_complete=False, version=None, after=None):
+    """Returns an update of the endpoint list with these `ListedEndpoint`s."""
+    return ListUpdate(ListVersion(DISCOVERY, version), after, is_complete, [*rows])
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -56,7 +56,6 @@
 from grebedyke.units import TICKS_PER_SECOND
 from grebedyke.validation import validate
 from grebedyke.wire import peer_codec
-from grebedyke.wire.endpoint_rows import parse_endpoint_rows
 from grebedyke.wire.request_headers import JobUpdate
 
 GOLDEN = Path(__file__).parent / "data" / "golden"
@@ -241,7 +240,7 @@
         self.loop, self.node = loop, assemble(loop, config, lambda: config, clock=lambda: self.NOW)
         self.node.parts.batch.pass_times.extend([self.NOW] * 3)
         self.node.parts.host.endpoint_updates.unix_time_offset = self.NOW - 50_000
-        self.node.parts.host.endpoint_updates.on_list(self.NOW, True, parse_endpoint_rows(known))
+        self.node.parts.host.endpoint_updates.on_list(self.NOW, self.node.configured_list())
         self.hot_restart = self.node.parts.hot_restart
 
     async def listen(self, inherited=None):
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import orjson
+from helpers import DISCOVERY, list_update
 from loguru import logger
 from node_files import LISTED_ROW
 from socketless_node import CallRecorder, FakeEventLoop, connect, fixed_clock_batch_loop, receive
@@ -30,7 +31,7 @@
     return DiscoveryClient(
         loop,
         batch,
-        ("127.0.0.1", 1),
+        DISCOVERY,
         41,
         SETTINGS,
         on_list=recorder.listed,
@@ -83,7 +84,10 @@
         {"index": 43, "snapshot": True, "endpoints": [LISTED_ROW]},
         {"index": 44, "snapshot": False, "endpoints": [{**LISTED_ROW, "status": "Terminating"}]},
     )
-    assert calls == [("listed", True, [row]), ("listed", False, [(*row[:5], "draining", *row[6:])])]
+    assert calls == [
+        ("listed", list_update(row, is_complete=True, version=43, after=42)),
+        ("listed", list_update((*row[:5], "draining", *row[6:]), version=44, after=43)),
+    ]
     # The first poll asks for an immediate answer, later ones wait for changes.
     assert [line.split()[1] for line in sent.split(b"\r\n") if line.startswith(b"GET")] == [
         b"/discovery/hosts?after=%d&wait_ms=%d" % (version, 5000 if version > 41 else 0)
@@ -143,8 +147,8 @@
 def test_row_without_valid_address_does_not_affect_others():
     rows = [{**LISTED_ROW, "name": "s-0", "address": "?"}, LISTED_ROW]
     _, calls, _ = answer_polls({"index": 42, "snapshot": True, "endpoints": rows})
-    _, _, listed = calls[0]
-    assert [(row.name, row.state) for row in listed] == [("s-0", "gone"), ("s-1", "healthy")]
+    _, update = calls[0]
+    assert [(row.name, row.state) for row in update.rows] == [("s-0", "gone"), ("s-1", "healthy")]
 
 
 def test_invalid_and_duplicate_rows_and_older_version_are_handled():
@@ -172,7 +176,7 @@
     finally:
         logger.remove(sink)
     assert len(calls) == 1
-    assert {row.name for row in calls[0][2] if row.state == "healthy"} == {"s-1", "s-7"}
+    assert {row.name for row in calls[0][1].rows if row.state == "healthy"} == {"s-1", "s-7"}
     assert len(lines) == 2
     # The older list is not applied; the next poll requests the complete list, of any version.
     assert client.version is None and not client.polling
--- a/tests/test_executor_connections.py
+++ b/tests/test_executor_connections.py
@@ -6,6 +6,7 @@
 
 import pytest
 from emulators import ACCEPTED, BlockingClient, DiscoveryEmulator, ExecutorEmulator, port_of, until
+from helpers import list_update
 from node_harness import NodeHarness
 from socketless_node import NOW, SocketlessNode, receive
 
@@ -86,7 +87,7 @@
             await until(lambda: harness.gate.waiting == 1 and executor.writers, "the connect")
             executor.writers[0].close()
             await until(lambda: not harness.endpoint().connections, "the loss of the connection")
-            harness.host.endpoint_updates.on_list(harness.batch.clock(), False, [other_row])
+            harness.host.endpoint_updates.on_list(harness.batch.clock(), list_update(other_row))
             harness.gate.opened.set()
             await until(lambda: other.received or executor.received, "the next attempt")
             await harness.finish(client, name="s-2" if other.received else "s-1")
--- a/tests/test_latest_send.py
+++ b/tests/test_latest_send.py
@@ -5,7 +5,7 @@
 
 import pytest
 from emulators import BlockingClient, ExecutorEmulator, port_of, until
-from helpers import dispatcher, rows, take_actions
+from helpers import dispatcher, list_update, rows, take_actions
 from node_harness import OPERATION, NodeHarness
 from socketless_node import NOW, SocketlessNode, connect
 
@@ -34,7 +34,7 @@
             client = BlockingClient(harness.address).send_request()
             await until(lambda: first.received, "the first attempt")
             row = ListedEndpoint("s-2", ("127.0.0.1", port_of(other.address)), "a", "m", 0, "healthy", 0, 1)
-            harness.host.endpoint_updates.on_list(harness.batch.clock(), False, [row])
+            harness.host.endpoint_updates.on_list(harness.batch.clock(), list_update(row))
             sent_at = harness.host.requests.pending[b"r1"].received_at
             await harness.call_back("failed")
             await until(lambda: harness.gate.waiting == 1, "the retry's connect")
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -261,7 +261,8 @@
             "from grebedyke.service.endpoint_updates import EndpointUpdates\n"
             "on_list = EndpointUpdates.on_list\n"
             "healthy = lambda rows: [row for row in rows if row.state == 'healthy']\n"
-            "EndpointUpdates.on_list = lambda s, n, whole, rows: on_list(s, n, whole, healthy(rows))",
+            "EndpointUpdates.on_list = lambda s, n, update: on_list(\n"
+            "    s, n, update._replace(rows=healthy(update.rows)))",
             True,
             3,
             "reached s-0",
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,6 +8,7 @@
 
 import orjson
 import pytest
+from helpers import list_update
 from job_emulators import AcceptingExecutor, send_message
 from node_files import LISTED_ROW, SETTINGS, checked_configuration, node_file, node_file_with
 from socketless_node import REQUEST, SocketlessNode, call_back_message
@@ -186,7 +187,7 @@
     rows = [
         ListedEndpoint("s-1", ("127.0.0.1", 9), "a", "m", 0, "healthy", since_ms, 1) for since_ms in (0, 700)
     ]
-    socketless.host.endpoint_updates.on_list(0, True, rows)
+    socketless.host.endpoint_updates.on_list(0, list_update(*rows, is_complete=True))
     event = socketless.dispatcher.events[0]
     assert isinstance(event, EndpointsChanged)
     assert [row.started_at for row in event.rows] == [0, 2_000]
