--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -87,6 +87,7 @@
     messages = ProcessMessages(core.loop, core.batch, host, listener, discovery)
     hot_restart = HotRestart(
         core.loop,
+        core.batch.enqueue,
         configuration["folder"],
         configuration["name"],
         messages.export_state,
@@ -139,6 +140,7 @@
         on_failure=endpoint_updates.on_list_unavailable,
     )
     client.max_list_bytes = max_list_bytes(configuration["limits"]["memory_mb"])
+    endpoint_updates.on_changes_lost = client.request_complete_list
     return client
 
 
--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -1,10 +1,13 @@
 """Distributes the endpoint list and operators' bans, and exports their state to a successor."""
 
+from contextlib import contextmanager
+
 from grebedyke.model.endpoint_list import EndpointRow
 from grebedyke.model.events import EndpointListUnavailable, EndpointsChanged
 from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.endpoint_rows import HEALTHY
 from grebedyke.wire.executor_pool import EndpointAddress
+from grebedyke.wire.list_update import NO_LIST, ListVersion
 
 EMPTY_RETRY_BUDGET = ((), (), 0, 0)
 
@@ -20,7 +23,10 @@
         list_listener: Called after the dispatcher, with the time, whether the rows are the complete list,
             and discovery's rows; may be None.
         exclusions: The `EndpointExclusions`; None outside of a fleet.
-        applied: The `ListVersion` of the list as it is applied; None before the first list.
+        applied: The `ListVersion` of the list as all parts have it; without a number while an update is being
+            applied, and after one that could not be applied.
+        on_changes_lost: Called with the time when an update could not be applied: only a complete list
+            makes up for it.
     """
 
     def __init__(self, dispatcher, pool, attempts):
@@ -30,18 +36,35 @@
         self.unix_time_offset = 0
         self.list_listener = None
         self.exclusions = None
-        self.applied = None
+        self.applied = NO_LIST
+        self.on_changes_lost = None
 
     def on_list(self, now, update):
-        """Applies a `ListUpdate`."""
-        rows = update.rows
+        """Applies a `ListUpdate`, unless changes before it are lost."""
+        if not update.continues(self.applied):
+            return
+        with self._changing_list(now, update.version):
+            if update.is_complete or update.rows:
+                self._distribute(now, update.is_complete, update.rows)
+
+    @contextmanager
+    def _changing_list(self, now, version):
+        """Sets the applied version after the body, so that it never includes changes that are not applied."""
+        self.applied = ListVersion(version.source, None)
+        try:
+            yield
+        except Exception:
+            self.on_changes_lost(now)
+            raise
+        self.applied = version
+
+    def _distribute(self, now, is_complete, rows):
         addresses = [EndpointAddress(row.name, row.address, row.state, row.since_ms) for row in rows]
-        self.pool.update_endpoints(update.is_complete, addresses)
+        self.pool.update_endpoints(is_complete, addresses)
         changed = [self._row_with_node_time(row) for row in rows]
-        self.dispatcher.handle(now, EndpointsChanged(update.is_complete, changed))
+        self.dispatcher.handle(now, EndpointsChanged(is_complete, changed))
         if self.list_listener:
-            self.list_listener(now, update.is_complete, rows)
-        self.applied = update.version
+            self.list_listener(now, is_complete, rows)
 
     def _row_with_node_time(self, row):
         # 0 means that the start time is not known.
@@ -77,8 +100,16 @@
             state["excluded"] = self.exclusions.banned_only_by_components()
         return state
 
-    def import_state(self, now, state):
-        """Imports the state that another process has exported."""
+    def import_state(self, now, state, version):
+        """Imports the state that another process has exported, with the `ListVersion` of its list."""
+        with self._changing_list(now, version):
+            self._import_endpoints(now, state)
+        # A process of an earlier version exports no retry budget, so the number of its attempts is unknown.
+        budget = state.get("budget") or EMPTY_RETRY_BUDGET
+        self.dispatcher.retry_budget.import_state(now, *budget)
+        self.dispatcher.handle(now, EndpointsChanged(False, []))
+
+    def _import_endpoints(self, now, state):
         addresses = [
             EndpointAddress(name, tuple(address), HEALTHY, since_ms)
             for name, address, since_ms in state["places"]
@@ -88,7 +119,3 @@
         if self.exclusions:
             # A process of an earlier version does not export these bans separately.
             self.exclusions.inherited = {*state.get("excluded", ())}
-        # A process of an earlier version exports no retry budget, so the number of its attempts is unknown.
-        budget = state.get("budget") or EMPTY_RETRY_BUDGET
-        self.dispatcher.retry_budget.import_state(now, *budget)
-        self.dispatcher.handle(now, EndpointsChanged(False, []))
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -67,9 +67,11 @@
 
     Attributes:
         loop: The event loop.
+        enqueue: enqueue(call, *args) calls call(now, *args) in the next batch, after all earlier events.
         path: Path of the socket on which this process listens for a successor; None without hot restart.
         export_state: Returns the fields of a `STATE` message and the listening socket's descriptor.
-        handlers: By `MessageKind`, called with the fields of a message; `STATE` with a dictionary of them.
+        handlers: By `MessageKind`, called with the fields of a message; `STATE` with the time and a
+            dictionary of them.
         on_sharing_changed: Called with True when another process of this node is connected, with False when
             it has ended.
         server: The socket that accepts a successor; None while this process accepts none.
@@ -77,14 +79,16 @@
         successor: Channel to the successor; None if there is none.
         successor_is_ready: Whether the successor is serving.
         wants_successor: Whether this process listens again after its successor has ended.
+        has_inherited: Whether the predecessor's state is applied.
         on_predecessor_end: Called when the predecessor has ended.
         on_successor_end: Called when the successor has ended.
         predecessor_gives_identifiers: Whether the predecessor handles `TAKE_IDENTIFIERS`; a process of an
             earlier version does not.
     """
 
-    def __init__(self, loop, folder, name, export_state, handlers, on_sharing_changed):
+    def __init__(self, loop, enqueue, folder, name, export_state, handlers, on_sharing_changed):
         self.loop = loop
+        self.enqueue = enqueue
         self.path = os.path.join(folder, f"{name.replace('/', '_')}.handover") if folder else None
         self.export_state = export_state
         self.handlers = handlers
@@ -97,16 +101,19 @@
         self.on_predecessor_end = do_nothing
         self.on_successor_end = do_nothing
         self.predecessor_gives_identifiers = False
-        self._state_received = None  # future of the descriptors received with the state; None without state
+        self.has_inherited = False
+        self._awaits_state = False
+        self._state_applied = None  # future of the descriptors that came with the state; None without state
         self._folder_descriptor = None
 
     # The successor's side.
 
     async def inherit(self):
-        """Connects to the serving process and receives its state.
+        """Connects to the serving process, receives its state, and returns when the state is applied.
 
         Returns:
-            Its listening socket; None if no process is serving or its state did not arrive in time.
+            Its listening socket; None if no process is serving, or if its state did not arrive in time or
+            cannot be applied.
         """
         if not self.path:
             return None
@@ -117,16 +124,19 @@
         except OSError:
             client.close()  # no process is listening; a killed process leaves its socket file behind
             return None
-        self._state_received = self.loop.create_future()
-        self.predecessor = ProcessChannel(self.loop, client, self._on_message, self._on_end)
-        self.predecessor.send(
-            {"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION, TAKES_IDENTIFIERS: True}
-        )
+        self.request_state(ProcessChannel(self.loop, client, self._on_message, self._on_end))
         timer = self.loop.call_later(STATE_TIMEOUT_S, self.predecessor.close)
-        descriptors = await self._state_received
+        descriptors = await self._state_applied
         timer.cancel()
         return socket.socket(fileno=descriptors[0]) if descriptors else None
 
+    def request_state(self, channel):
+        """Asks the process at the other end of a channel, the predecessor, for its state."""
+        self._awaits_state = True
+        self._state_applied = self.loop.create_future()
+        self.predecessor = channel
+        channel.send({"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION, TAKES_IDENTIFIERS: True})
+
     def listen_for_successor(self):
         """Listens for a successor, in place of the predecessor."""
         if not self.path:
@@ -229,12 +239,13 @@
     def _handle(self, channel, kind, message, descriptors):
         """Handles one message; removes the descriptors that it keeps from the list."""
         if kind == MessageKind.HELLO and message["version"] == PROTOCOL_VERSION:
-            self._accept_successor(channel, message.get(TAKES_IDENTIFIERS, False))
-        elif kind == MessageKind.STATE and not self._state_received.done():
+            # As an event, so that the state contains all that was read before it.
+            self.enqueue(self._accept_successor, channel, message.get(TAKES_IDENTIFIERS, False))
+        elif kind == MessageKind.STATE and self._awaits_state:
+            self._awaits_state = False
             self.predecessor_gives_identifiers = message.pop(GIVES_IDENTIFIERS, False)
             self.on_sharing_changed(True)
-            self.handlers[kind](message)
-            self._state_received.set_result(descriptors[:])
+            self.enqueue(self._apply_state, message, descriptors[:])
             descriptors.clear()
         elif kind == MessageKind.READY:
             logger.info("a new process is serving alongside this one", event="handover-ready")
@@ -246,22 +257,40 @@
         else:
             channel.close()
 
-    def _accept_successor(self, channel, takes_identifiers):
+    def _accept_successor(self, now, channel, takes_identifiers):
+        """Sends the state to a process that takes over, unless it has ended in the meantime."""
+        if not channel.is_open():
+            return
         if self.successor or channel is self.predecessor:
             channel.close()  # only one successor at a time
             return
-        self.successor = channel
         state, descriptor = self.export_state()
         if takes_identifiers:
             state[GIVES_IDENTIFIERS] = True
+        self.successor = channel
         channel.send({"kind": MessageKind.STATE, **state}, descriptor)
         self.on_sharing_changed(True)
 
+    def _apply_state(self, now, message, descriptors):
+        """Applies the predecessor's state; without it this process serves alone."""
+        try:
+            self.handlers[MessageKind.STATE](now, message)
+        except Exception:
+            for descriptor in descriptors:
+                os.close(descriptor)
+            self._state_applied.set_result(None)
+            if self.predecessor:
+                self.predecessor.close()
+            raise
+        self.has_inherited = True
+        self._state_applied.set_result(descriptors)
+
     def _on_end(self, channel):
         if channel is self.predecessor:
             self.predecessor = None
-            if not self._state_received.done():
-                self._state_received.set_result(None)
+            if self._awaits_state:
+                self._awaits_state = False
+                self._state_applied.set_result(None)
             self.on_sharing_changed(False)
             self.on_predecessor_end()
         elif channel is self.successor:
--- a/grebedyke/service/node.py
+++ b/grebedyke/service/node.py
@@ -180,7 +180,7 @@
         # A serving process's state takes precedence: the file's list may be old and has no bans.
         listening_socket = await parts.hot_restart.inherit()
         if self.component_host:
-            self.component_host.start(parts.hot_restart.predecessor is not None)
+            self.component_host.start(parts.hot_restart.has_inherited)
         parts.discovery.poll()
         if self.configuration["console"]:
             # Before the steps that may take time, so that operators get the answer "not ready".
--- a/grebedyke/service/process_channel.py
+++ b/grebedyke/service/process_channel.py
@@ -56,6 +56,10 @@
         self._enqueue(LAST_PACKET + pieces[-1], duplicates)
         self._write()
 
+    def is_open(self):
+        """Returns whether the channel is not closed."""
+        return self.socket is not None
+
     def is_congested(self):
         """Returns whether more waits to be sent than the other process leaves unread while it runs."""
         return self.queued_bytes > CONGESTED_BYTES
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -4,6 +4,7 @@
 
 from grebedyke.service.hot_restart import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
+from grebedyke.wire.list_update import ListVersion
 from grebedyke.wire.request_headers import JobUpdate
 
 
@@ -43,28 +44,30 @@
 
     def export_state(self):
         """Returns the fields of the state message, and the listening socket's descriptor."""
-        listing = {"address": self.discovery.address, "index": self.discovery.version}
-        state = {"books": self.host.endpoint_updates.export_state(), "listing": listing}
+        descriptor = self.listener.acceptor.server.fileno()
+        updates = self.host.endpoint_updates
+        source, number = updates.applied
         logger.info(
-            "the new process gets the state: list version {version}, {applied} applied, {read} read",
+            "the new process gets the state: list version {version}, {read} read",
             event="handover-sent",
-            version=listing["index"],
-            applied=self.host.endpoint_updates.applied.number,
+            version=number,
             read=self.discovery.version,
         )
-        return state, self.listener.acceptor.server.fileno()
+        listing = {"address": source, "index": number}
+        return {"books": updates.export_state(), "listing": listing}, descriptor
 
-    def _import_state(self, message):
-        self.batch.enqueue(self.host.endpoint_updates.import_state, message["books"])
+    def _import_state(self, now, message):
         listing = message["listing"]
+        version = ListVersion(tuple(listing["address"]), listing["index"])
         logger.info(
             "the old process's state has arrived: list version {version}",
             event="handover-received",
-            version=listing["index"],
+            version=version.number,
         )
+        self.host.endpoint_updates.import_state(now, message["books"], version)
         # Another discovery service has its own versions.
-        is_same_discovery = tuple(listing["address"]) == self.discovery.address
-        self.discovery.version = listing["index"] if is_same_discovery else None
+        is_same_discovery = version.source == self.discovery.address
+        self.discovery.version = version.number if is_same_discovery else None
 
     # Sending.
 
--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -115,7 +115,7 @@
         failures: Number of failed polls since the last answer.
         failing: Whether a failure was logged and no answer has arrived since.
         closed: Whether `close` was called.
-        first_result: Set on the first answer or failure.
+        first_result: Set when the first answer is applied, or on the first failure.
     """
 
     def __init__(self, loop, batch, address, version, settings, *, on_list, on_failure):
@@ -203,6 +203,17 @@
             return
         self.address = (host, port)
         self.version = None
+        self._abandon_poll()
+        self.poll()
+
+    def request_complete_list(self, now):
+        """Requests the complete list, after an update that could not be applied, with a pause before it."""
+        self.version = None
+        self._abandon_poll()
+        self.batch.call_later(self.settings.max_retry_delay, self.poll)
+
+    def _abandon_poll(self):
+        """Ends the poll in progress; its answer is ignored."""
         self.polling = False
         self.skips_wait = True
         connection = self.connection
@@ -212,7 +223,6 @@
             connection.close()
         elif self.connect_task:
             self.connect_task.cancel()
-        self.poll()
 
     # Answers.
 
@@ -276,10 +286,15 @@
                 "discovery is available again, version {version}", event="list-again", version=version
             )
             self.failing = False
-        if is_complete or rows:
+        if is_complete or rows or version != after:
             update = ListUpdate(ListVersion(self.address, version), after, is_complete, rows)
             self.batch.enqueue(self.on_list, update)
-        self.first_result.set()
+        self._report_first_result()
+
+    def _report_first_result(self):
+        """Sets `first_result` after all that was read before is applied."""
+        if not self.first_result.is_set():
+            self.batch.enqueue(lambda now: self.first_result.set())
 
     def _poll_again(self, had_changes):
         elapsed = self.batch.clock() - self.poll_started
@@ -332,7 +347,7 @@
         """Ends a poll without an answer and schedules the next one."""
         self.polling = False
         self.skips_wait = True
-        self.first_result.set()
+        self._report_first_result()
         if not self.failing and not self.closed:
             logger.warning(
                 "discovery is unavailable; continuing with the last list, version {version}",
--- a/grebedyke/wire/list_update.py
+++ b/grebedyke/wire/list_update.py
@@ -15,6 +15,10 @@
     number: int | None
 
 
+# Version of an endpoint list before the first one is applied.
+NO_LIST = ListVersion(("", 0), None)
+
+
 class ListUpdate(NamedTuple):
     """A complete endpoint list, or the changes from an earlier version of it.
 
@@ -29,3 +33,17 @@
     after: int | None
     is_complete: bool
     rows: list
+
+    def continues(self, applied):
+        """Returns whether a list of the `ListVersion` `applied` contains all that precedes the changes.
+
+        >>> changes = ListUpdate(ListVersion(("h", 1), 9), 7, False, [])
+        >>> [changes.continues(ListVersion(("h", 1), number)) for number in (6, 7, 8, None)]
+        [False, True, True, False]
+        >>> changes.continues(ListVersion(("h", 2), 7))
+        False
+        """
+        if self.is_complete or self.after is None:
+            return True
+        is_same_source = applied.source == self.version.source
+        return is_same_source and applied.number is not None and self.after <= applied.number
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -85,6 +85,7 @@
         {"index": 44, "snapshot": False, "endpoints": [{**LISTED_ROW, "status": "Terminating"}]},
     )
     assert calls == [
+        ("listed", list_update(version=42, after=41)),
         ("listed", list_update(row, is_complete=True, version=43, after=42)),
         ("listed", list_update((*row[:5], "draining", *row[6:]), version=44, after=43)),
     ]
--- a/tests/test_exclusions.py
+++ b/tests/test_exclusions.py
@@ -17,6 +17,7 @@
 from grebedyke.testbed import trial
 from grebedyke.testbed.process_cluster import ProcessCluster
 from grebedyke.testbed.process_cluster_settings import ProcessClusterSettings
+from grebedyke.wire.list_update import NO_LIST
 
 NAMES = ("s-1", "s-2")
 WARM_UP_SECONDS = 20
@@ -122,7 +123,7 @@
     node, exclusions = node_with_exclusions()
     updates = EndpointUpdates(node, SimpleNamespace(update_endpoints=lambda *_: None), None)
     updates.exclusions = exclusions
-    updates.import_state(40, state)
+    updates.import_state(40, state, NO_LIST)
     assert not node.endpoints.healthy
     component = SimpleNamespace(controls_exclusions=True, possibly_excluded_endpoints=lambda: [])
     exclusions.classify_inherited_bans([component])
--- a/tests/test_hot_restart.py
+++ b/tests/test_hot_restart.py
@@ -84,12 +84,14 @@
 
 def process_side(folder, listening, calls, **handlers):
     """Returns one side of a hot restart; `calls` records received states and sharing changes."""
+    loop = asyncio.get_running_loop()
     return HotRestart(
-        asyncio.get_running_loop(),
+        loop,
+        lambda call, *args: loop.call_soon(call, 0, *args),
         str(folder),
         "n/1",
         lambda: ({"list": [1]}, listening.fileno()),
-        {"books": calls.append, **handlers},
+        {"books": lambda now, message: calls.append(message), **handlers},
         calls.append,
     )
 
--- a/tests/test_process_channel.py
+++ b/tests/test_process_channel.py
@@ -28,7 +28,7 @@
         loop = asyncio.get_running_loop()
         near, self._far = socket.socketpair(socket.AF_UNIX, socket.SOCK_SEQPACKET)
         self.received = []
-        self.hot_restart = HotRestart(loop, None, "n1", None, {}, None)
+        self.hot_restart = HotRestart(loop, None, None, "n1", None, {}, None)
         self.channel = ProcessChannel(loop, near, None, lambda channel: None)
         self.hot_restart.successor = self.channel
 
--- /dev/null
+++ b/tests/test_restart_orders.py
@@ -0,0 +1,149 @@
+"""Hot restarts in which news and the transfer of the state are handled in every order."""
+
+from itertools import permutations, product
+
+import pytest
+from loguru import logger
+from node_files import LISTED_ROW
+from process_pair import DiscoveryLog, SteppedProcess, settle
+
+NAMES = ("s-1", "s-2", "s-3", "s-4")
+# "s-4" is banned at first.
+EXPECTED_AT_FIRST = {"s-1": "healthy", "s-2": "healthy", "s-3": "healthy", "s-4": "banned"}
+
+
+@pytest.fixture(autouse=True)
+def without_log():
+    """Turns the log off, which would have some thousand lines."""
+    logger.disable("grebedyke")
+    yield
+    logger.enable("grebedyke")
+
+
+def row(name, status="Ready"):
+    """Returns discovery's row of an executor."""
+    return {**LISTED_ROW, "name": name, "status": status}
+
+
+class Restart:
+    """A node with an old process that serves, and a new one that has just started.
+
+    Attributes:
+        discovery: The `DiscoveryLog` of both processes.
+        old: The old process.
+        new: The new process, which has said hello.
+        expected: The states that an undisturbed process would have.
+    """
+
+    def __init__(self):
+        self.discovery = DiscoveryLog(*map(row, NAMES))
+        known = {"index": 1, "endpoints": [*map(row, NAMES)]}
+        self.old = SteppedProcess(self.discovery, known)
+        self.old.call_operator("s-4", True)
+        self.old.run_batch()
+        # The new process's file is older than the list.
+        self.new = SteppedProcess(self.discovery, {"index": 1, "endpoints": []})
+        self.new.run_batch()
+        self.new.connect_to(self.old)
+        self.expected = {**EXPECTED_AT_FIRST}
+
+    # The steps.
+
+    def hello_is_read(self):
+        assert self.old.read_message()
+
+    def drain_is_read(self):
+        self.discovery.change(row("s-1", "Terminating"))
+        self.old.read_discovery()
+        self.expected["s-1"] = "draining"
+
+    def removal_is_read(self):
+        self.discovery.change(row("s-2", "Gone"))
+        self.old.read_discovery()
+        del self.expected["s-2"]
+
+    def start_is_read(self):
+        self.discovery.change(row("s-5"))
+        self.old.read_discovery()
+        self.expected["s-5"] = "healthy"
+
+    def ban_is_read(self):
+        self.old.call_operator("s-3", True)
+        self.expected["s-3"] = "banned"
+
+    def end_of_ban_is_read(self):
+        self.old.call_operator("s-4", False)
+        self.expected["s-4"] = "healthy"
+
+
+NEWS = (
+    Restart.drain_is_read,
+    Restart.removal_is_read,
+    Restart.start_is_read,
+    Restart.ban_is_read,
+    Restart.end_of_ban_is_read,
+)
+
+
+def orders():
+    """Yields orders of the hello and two pieces of news, each step with or without a batch after it."""
+    for pair in permutations(NEWS, 2):
+        for position in range(3):
+            steps = [*pair]
+            steps.insert(position, Restart.hello_is_read)
+            for batches in product((False, True), repeat=3):
+                yield [*zip(steps, batches, strict=True)]
+
+
+def play(order):
+    """Takes the steps in this order; then the old process handles all that waits.
+
+    Returns:
+        The `Restart`, in which the new process has not read its messages.
+    """
+    restart = Restart()
+    for step, runs_batch in order:
+        step(restart)
+        if runs_batch:
+            restart.old.run_batch()
+    settle(restart.old)
+    return restart
+
+
+def text_of(order):
+    """Returns the order as text, for a failed assertion."""
+    return ", ".join(step.__name__ + ("; batch" if runs_batch else "") for step, runs_batch in order)
+
+
+# Guards against: a drain that was read but not applied when the state was sent never reached the new process.
+def test_new_process_knows_all_news_of_the_old_one_in_every_order():
+    wrong = {}
+    for order in orders():
+        restart = play(order)
+        settle(restart.new, restart.old)
+        restart.new.read_discovery()
+        settle(restart.new, restart.old)
+        assert restart.old.states() == restart.expected
+        if restart.new.states() != restart.expected:
+            wrong[text_of(order)] = restart.new.states()
+    assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
+
+
+# Guards against: a process that is replaced before it has applied the inherited state passed on less than it
+# vouched for.
+def test_third_process_knows_what_the_second_one_has_not_applied_yet():
+    wrong = {}
+    for order in orders():
+        restart = play(order)
+        while restart.new.read_message():
+            pass
+        third = SteppedProcess(restart.discovery, {"index": 1, "endpoints": []})
+        third.run_batch()
+        third.connect_to(restart.new)
+        restart.new.read_message()
+        settle(restart.new, third)
+        third.read_discovery()
+        settle(restart.new, third)
+        if third.states() != restart.expected:
+            wrong[text_of(order)] = third.states()
+    assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
