Hot restart: components of the new process get the inherited endpoint list

What operators could see: maintenance of a node that was replaced judged executors by the list in its file. The inherited list went to the dispatcher and the connections alone, and the process then asked discovery only for what came after it, so all changes between the file and that version never reached the components: a removed executor counted as in use, a restart as not seen.

Change: the rows of the inherited state are passed to the components as a complete list, whichever version of the program the old process has.

--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -5,10 +5,12 @@
 from grebedyke.model.endpoint_list import EndpointRow
 from grebedyke.model.events import EndpointListUnavailable, EndpointsChanged
 from grebedyke.units import TICKS_PER_MILLISECOND
-from grebedyke.wire.endpoint_rows import HEALTHY
+from grebedyke.wire.endpoint_rows import HEALTHY, ListedEndpoint
 from grebedyke.wire.executor_pool import EndpointAddress
 from grebedyke.wire.list_update import NO_LIST, ListVersion
 
+# Address and start of an endpoint that has left the list.
+NO_PLACE = (("", 0), 0)
 EMPTY_RETRY_BUDGET = ((), (), 0, 0)
 
 
@@ -110,12 +112,26 @@
         self.dispatcher.handle(now, EndpointsChanged(False, []))
 
     def _import_endpoints(self, now, state):
+        places = {name: (tuple(address), since_ms) for name, address, since_ms in state["places"]}
         addresses = [
-            EndpointAddress(name, tuple(address), HEALTHY, since_ms)
-            for name, address, since_ms in state["places"]
+            EndpointAddress(name, address, HEALTHY, since) for name, (address, since) in places.items()
         ]
         self.pool.update_endpoints(True, addresses)
         self.dispatcher.endpoints.restore(now, state["executors"])
         if self.exclusions:
             # A process of an earlier version does not export these bans separately.
             self.exclusions.inherited = {*state.get("excluded", ())}
+        if self.list_listener:
+            rows = [_listed_endpoint(EndpointRow(*row), places) for row in state["executors"]["rows"]]
+            self.list_listener(now, True, rows)
+
+
+def _listed_endpoint(row, places):
+    """Returns discovery's row of an endpoint.
+
+    Args:
+        row: The `EndpointRow`.
+        places: Address and start in milliseconds of Unix time, by name.
+    """
+    address, since_ms = places.get(row.id, NO_PLACE)
+    return ListedEndpoint(row.id, address, row.zone, row.kind, row.cell, row.state, since_ms, row.weight)
--- a/tests/test_list_updates.py
+++ b/tests/test_list_updates.py
@@ -7,6 +7,7 @@
 from node_files import LISTED_ROW
 from process_pair import DiscoveryLog, SteppedProcess, settle
 
+from grebedyke.wire.endpoint_rows import ListedEndpoint
 from grebedyke.wire.list_update import ListVersion
 
 NAMES = ("s-1", "s-2")
@@ -107,3 +108,24 @@
     new.read_discovery()
     new.run_batch()
     assert new.states() == {"s-1": "healthy", "s-2": "healthy"}
+
+
+# Guards against: maintenance of a new process judged executors by the list of its file, however old that was.
+def test_components_of_a_new_process_get_the_inherited_list(process, discovery):
+    discovery.change(row("s-1", "Terminating"))
+    discovery.change(row("s-3") | {"since_ms": 5_000, "weight": 2})
+    process.read_discovery()
+    process.run_batch()
+    new = SteppedProcess(discovery, {"index": 1, "endpoints": [*map(row, NAMES)]})
+    new.run_batch()
+    received = []
+    new.node.parts.host.endpoint_updates.list_listener = lambda now, *update: received.append(update)
+    new.connect_to(process)
+    settle(process, new)
+    ((is_complete, rows),) = received
+    assert is_complete and {listed.name: (listed.state, listed.since_ms) for listed in rows} == {
+        "s-1": ("draining", 0),
+        "s-2": ("healthy", 0),
+        "s-3": ("healthy", 5_000),
+    }
+    assert rows[-1] == ListedEndpoint("s-3", ("127.0.0.1", 9), "a", "m", 0, "healthy", 5_000, 2)
