Hot restart: each process passes on the changes of the list that it is told

What callers saw: discovery told a drain to the old process of an upgrade and failed before the new one had asked. The old one ended as it should, the new one went on sending to the draining executor until discovery was back. To rules and limits both are one node, so what one has been told binds both. In the same way an operator's ban of an executor that only one process had read about was lost in the other one: a ban of an unknown name.

Cause: the state is sent once; afterwards each process learned of changes by its own polls alone.

Change: a process that has applied an update which leads to another version sends it to the other one (message "list", with the version that the changes start from). The other applies it if it is news, and continues its own list without a gap; it goes on polling from what it has read itself. An answer that is older than the applied list changes nothing. Only processes that announce it in hello and state get the message, and a process that does not read gets none: its own polls make up for it.

The case of a process that does not read is a counter-check. The check of the hello's bytes has one more field, as for identifiers before; packets to and from a process without it are the golden ones, as its tests show.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -97,6 +97,7 @@
     messages.hot_restart = hot_restart
     identifier_channel = IdentifierChannel(hot_restart, host.requests, core.batch.clock)
     host.job_updates.pass_on = messages.send_job_update
+    host.endpoint_updates.pass_on = messages.send_list
     admin_api = AdminApi(core.batch, None, partial(_set_banned, host, messages), shares.admin_connections)
     return NodeParts(
         loop=core.loop,
--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -27,6 +27,8 @@
         exclusions: The `EndpointExclusions`; None outside of a fleet.
         applied: The `ListVersion` of the list as all parts have it; without a number while an update is being
             applied, and after one that could not be applied.
+        pass_on: Called with each `ListUpdate` that has led to another version; None if there is no way to
+            another process of this node.
         on_changes_lost: Called with the time when an update could not be applied: only a complete list
             makes up for it.
     """
@@ -39,15 +41,26 @@
         self.list_listener = None
         self.exclusions = None
         self.applied = NO_LIST
+        self.pass_on = None
         self.on_changes_lost = None
 
     def on_list(self, now, update):
-        """Applies a `ListUpdate`, unless changes before it are lost."""
-        if not update.continues(self.applied):
-            return
+        """Applies a `ListUpdate` of discovery, unless changes before it are lost or later ones applied."""
+        if update.continues(self.applied):
+            self._apply(now, update)
+
+    def on_passed_on_list(self, now, update):
+        """Applies a `ListUpdate` of the other process of this node, if it is news to this one."""
+        if update.is_newer_than(self.applied):
+            self._apply(now, update)
+
+    def _apply(self, now, update):
+        before = self.applied
         with self._changing_list(now, update.version):
             if update.is_complete or update.rows:
                 self._distribute(now, update.is_complete, update.rows)
+        if self.pass_on and self.applied != before:
+            self.pass_on(update)
 
     @contextmanager
     def _changing_list(self, now, version):
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -19,6 +19,8 @@
 # earlier version ignores the first and does not send the second.
 TAKES_IDENTIFIERS = "takes_identifiers"
 GIVES_IDENTIFIERS = "gives_identifiers"
+# Field of HELLO and STATE: the sender handles LIST, and the version that it sends is that of an applied list.
+SHARES_LISTS = "shares_lists"
 # Seconds that a successor waits for the predecessor's state. The predecessor may be short of CPU during the
 # start of its successor, and without the state transfer connections have to be closed.
 STATE_TIMEOUT_S = 3.0
@@ -37,6 +39,7 @@
         READY: The successor is serving.
         JOB_UPDATE: A call-back about a request that the sender does not have.
         CONNECTION: A client's connection for the successor.
+        LIST: An update of the endpoint list that the sender has applied.
         BAN: An operator has banned an endpoint or ended the ban.
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
@@ -52,6 +55,7 @@
     READY = "ready"
     JOB_UPDATE = "news"
     CONNECTION = "client"
+    LIST = "list"
     BAN = "hand"
     RELOAD = "reload"
     TAKE_IDENTIFIERS = "take-identifiers"
@@ -80,10 +84,13 @@
         successor_is_ready: Whether the successor is serving.
         wants_successor: Whether this process listens again after its successor has ended.
         has_inherited: Whether the predecessor's state is applied.
+        list_channels: The channels to processes that handle `LIST`; a process of an earlier version does not.
         on_predecessor_end: Called when the predecessor has ended.
         on_successor_end: Called when the successor has ended.
         predecessor_gives_identifiers: Whether the predecessor handles `TAKE_IDENTIFIERS`; a process of an
             earlier version does not.
+        predecessor_shares_lists: Whether the predecessor handles `LIST`, and the version in its state is that
+            of an applied list.
     """
 
     def __init__(self, loop, enqueue, folder, name, export_state, handlers, on_sharing_changed):
@@ -101,7 +108,9 @@
         self.on_predecessor_end = do_nothing
         self.on_successor_end = do_nothing
         self.predecessor_gives_identifiers = False
+        self.predecessor_shares_lists = False
         self.has_inherited = False
+        self.list_channels = []
         self._awaits_state = False
         self._state_applied = None  # future of the descriptors that came with the state; None without state
         self._folder_descriptor = None
@@ -135,7 +144,8 @@
         self._awaits_state = True
         self._state_applied = self.loop.create_future()
         self.predecessor = channel
-        channel.send({"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION, TAKES_IDENTIFIERS: True})
+        hello = {"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION}
+        channel.send({**hello, TAKES_IDENTIFIERS: True, SHARES_LISTS: True})
 
     def listen_for_successor(self):
         """Listens for a successor, in place of the predecessor."""
@@ -210,6 +220,13 @@
                 channel.send({"kind": kind, **fields})
         return any(channel.is_congested() for channel in channels)
 
+    def send_list(self, **fields):
+        """Sends an update of the list to the other processes that handle it and read their messages."""
+        for channel in self.list_channels:
+            # Without it the other process misses no change: it asks discovery from its own version on.
+            if not channel.is_congested():
+                channel.send({"kind": MessageKind.LIST, **fields})
+
     def close(self):
         """Closes the channels and stops listening."""
         self.wants_successor = False
@@ -240,12 +257,13 @@
         """Handles one message; removes the descriptors that it keeps from the list."""
         if kind == MessageKind.HELLO and message["version"] == PROTOCOL_VERSION:
             # As an event, so that the state contains all that was read before it.
-            self.enqueue(self._accept_successor, channel, message.get(TAKES_IDENTIFIERS, False))
+            self.enqueue(self._accept_successor, channel, message)
         elif kind == MessageKind.STATE and self._awaits_state:
             self._awaits_state = False
             self.predecessor_gives_identifiers = message.pop(GIVES_IDENTIFIERS, False)
+            self.predecessor_shares_lists = message.pop(SHARES_LISTS, False)
             self.on_sharing_changed(True)
-            self.enqueue(self._apply_state, message, descriptors[:])
+            self.enqueue(self._apply_state, channel, message, descriptors[:])
             descriptors.clear()
         elif kind == MessageKind.READY:
             logger.info("a new process is serving alongside this one", event="handover-ready")
@@ -257,7 +275,7 @@
         else:
             channel.close()
 
-    def _accept_successor(self, now, channel, takes_identifiers):
+    def _accept_successor(self, now, channel, hello):
         """Sends the state to a process that takes over, unless it has ended in the meantime."""
         if not channel.is_open():
             return
@@ -265,13 +283,16 @@
             channel.close()  # only one successor at a time
             return
         state, descriptor = self.export_state()
-        if takes_identifiers:
+        if hello.get(TAKES_IDENTIFIERS):
             state[GIVES_IDENTIFIERS] = True
+        if hello.get(SHARES_LISTS):
+            state[SHARES_LISTS] = True
+            self.list_channels.append(channel)
         self.successor = channel
         channel.send({"kind": MessageKind.STATE, **state}, descriptor)
         self.on_sharing_changed(True)
 
-    def _apply_state(self, now, message, descriptors):
+    def _apply_state(self, now, channel, message, descriptors):
         """Applies the predecessor's state; without it this process serves alone."""
         try:
             self.handlers[MessageKind.STATE](now, message)
@@ -279,13 +300,16 @@
             for descriptor in descriptors:
                 os.close(descriptor)
             self._state_applied.set_result(None)
-            if self.predecessor:
-                self.predecessor.close()
+            channel.close()
             raise
         self.has_inherited = True
+        if self.predecessor_shares_lists and channel is self.predecessor:
+            self.list_channels.append(channel)
         self._state_applied.set_result(descriptors)
 
     def _on_end(self, channel):
+        if channel in self.list_channels:
+            self.list_channels.remove(channel)
         if channel is self.predecessor:
             self.predecessor = None
             if self._awaits_state:
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -4,7 +4,8 @@
 
 from grebedyke.service.hot_restart import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
-from grebedyke.wire.list_update import ListVersion
+from grebedyke.wire.endpoint_rows import ListedEndpoint
+from grebedyke.wire.list_update import ListUpdate, ListVersion
 from grebedyke.wire.request_headers import JobUpdate
 
 
@@ -36,6 +37,7 @@
             MessageKind.STATE: self._import_state,
             MessageKind.JOB_UPDATE: self._on_job_update,
             MessageKind.CONNECTION: self._on_connection,
+            MessageKind.LIST: self._on_list,
             MessageKind.BAN: self._on_ban,
             MessageKind.RELOAD: lambda: self.reload(),
         }
@@ -89,6 +91,17 @@
                 "the other process does not read: a call-back is dropped", event="handover-congested"
             )
 
+    def send_list(self, update):
+        """Passes on a `ListUpdate` that this process has applied."""
+        if self.hot_restart.list_channels:
+            self.hot_restart.send_list(
+                address=update.version.source,
+                index=update.version.number,
+                after=update.after,
+                snapshot=update.is_complete,
+                endpoints=[tuple(row) for row in update.rows],
+            )
+
     def send_ban(self, endpoint_id, is_banned):
         """Passes on an operator's ban or its end."""
         self.hot_restart.send(MessageKind.BAN, name=endpoint_id, out=is_banned)
@@ -118,5 +131,10 @@
         adoption = self.listener.adopt(descriptor=fd, proven=good, is_executor=caller)
         self.loop.create_task(adoption)
 
+    def _on_list(self, address, index, after, snapshot, endpoints):
+        rows = [ListedEndpoint(name, tuple(place), *rest) for name, place, *rest in endpoints]
+        update = ListUpdate(ListVersion(tuple(address), index), after, snapshot, rows)
+        self.batch.enqueue(self.host.endpoint_updates.on_passed_on_list, update)
+
     def _on_ban(self, name, out):
         self.batch.enqueue(self.host.endpoint_updates.set_banned, name, out)
--- a/grebedyke/wire/list_update.py
+++ b/grebedyke/wire/list_update.py
@@ -37,13 +37,35 @@
     def continues(self, applied):
         """Returns whether a list of the `ListVersion` `applied` contains all that precedes the changes.
 
+        Not if it contains later changes, either: these rows would undo them.
+
         >>> changes = ListUpdate(ListVersion(("h", 1), 9), 7, False, [])
-        >>> [changes.continues(ListVersion(("h", 1), number)) for number in (6, 7, 8, None)]
-        [False, True, True, False]
+        >>> [changes.continues(ListVersion(("h", 1), number)) for number in (6, 7, 9, 10, None)]
+        [False, True, True, False, False]
         >>> changes.continues(ListVersion(("h", 2), 7))
         False
         """
         if self.is_complete or self.after is None:
             return True
-        is_same_source = applied.source == self.version.source
-        return is_same_source and applied.number is not None and self.after <= applied.number
+        if applied.source != self.version.source or applied.number is None:
+            return False
+        return self.after <= applied.number <= self.version.number
+
+    def is_newer_than(self, applied):
+        """Returns whether the update brings a list of the `ListVersion` `applied` to a later version.
+
+        >>> changes = ListUpdate(ListVersion(("h", 1), 9), 7, False, [])
+        >>> [changes.is_newer_than(ListVersion(("h", 1), number)) for number in (6, 7, 9, 10, None)]
+        [False, True, False, False, False]
+        >>> complete = changes._replace(is_complete=True)
+        >>> [complete.is_newer_than(ListVersion(("h", 1), number)) for number in (6, 9, None)]
+        [True, False, True]
+        >>> complete.is_newer_than(ListVersion(("h", 2), 6))
+        False
+        """
+        if applied.source != self.version.source or self.version.number is None:
+            return False
+        if applied.number is None:
+            return self.is_complete
+        is_later = applied.number < self.version.number
+        return is_later and (self.is_complete or (self.after is not None and self.after <= applied.number))
--- a/tests/process_pair.py
+++ b/tests/process_pair.py
@@ -119,11 +119,14 @@
 
     def read_discovery(self):
         """Reads the answer to a poll."""
+        self.read_answer(self.discovery.answer(self.node.parts.discovery.version))
+
+    def read_answer(self, body):
+        """Reads an answer with this body."""
         client = self.node.parts.discovery
         if not client.connection:
             client.connection = connect(DiscoveryConnection(client))
         client.polling = True
-        body = self.discovery.answer(client.version)
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
         receive(client.connection, head + body)
 
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -774,6 +774,7 @@
 
 HELLO, READY = ['.{"kind":"hello","version":1}'], ['.{"kind":"ready"}']
 HELLO_WITH_IDENTIFIERS = ['.{"kind":"hello","version":1,"takes_identifiers":true}']
+HELLO_OF_THIS_VERSION = ['.{"kind":"hello","version":1,"takes_identifiers":true,"shares_lists":true}']
 
 
 def record_handover():
@@ -797,10 +798,10 @@
 def test_state_transfer_of_the_new_process_keeps_its_format(tmp_path):
     sample = golden("handover")
     sent_packets, found = run_with_timeout(new_process_packets(tmp_path, sample["old"]))
-    # A field says that the process takes over request identifiers; earlier versions ignore it. A process that
-    # does not answer to it gets the rest as before.
+    # Two fields say that the process takes over request identifiers and takes updates of the list; earlier
+    # versions ignore them. A process that does not answer to them gets the rest as before.
     assert sample["new"] == {"hello": [HELLO, 0], "ready": [READY, 0]}
-    assert plain(sent_packets) == {"hello": [HELLO_WITH_IDENTIFIERS, 0], "ready": [READY, 0]}
+    assert plain(sent_packets) == {"hello": [HELLO_OF_THIS_VERSION, 0], "ready": [READY, 0]}
     assert json.loads(orjson.dumps(found)) == sample["found"]
     assert found["listens at the same port"] and found["index of the list"] == KNOWN["index"]
     assert found["banned"] == ["s-2"] and found["banned later"] == ["s-1"]
@@ -815,6 +816,15 @@
     assert plain({**sent_packets, "books": sample["old"]["books"]}) == sample["old"]
 
 
+def test_old_process_shares_lists_only_with_a_successor_that_takes_them(tmp_path):
+    sample = golden("handover")
+    sent_packets = run_with_timeout(old_process_packets(tmp_path, HELLO_OF_THIS_VERSION, READY))
+    books = json.loads(sent_packets["books"][0][0][1:])
+    assert books.pop("shares_lists") is True and books.pop("gives_identifiers") is True
+    assert books == json.loads(sample["old"]["books"][0][0][1:])
+    assert plain({**sent_packets, "books": sample["old"]["books"]}) == sample["old"]
+
+
 def test_long_messages_between_processes_are_split_as_before():
     packets = [zlib.decompress(from_text(text)) for text in golden("handover")["long"]]
     assert len(packets) == 3 and run_with_timeout(long_message()) == packets
--- a/tests/test_restart_orders.py
+++ b/tests/test_restart_orders.py
@@ -147,3 +147,83 @@
         if third.states() != restart.expected:
             wrong[text_of(order)] = third.states()
     assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
+
+
+# Guards against: discovery told a change to one process of an upgrade and then failed; the other went on
+# without it, and alone after the first one's end.
+def test_news_that_one_process_reads_reach_the_other_although_discovery_fails():
+    wrong = {}
+    for order in orders():
+        restart = play(order)
+        settle(restart.new, restart.old)
+        if restart.new.states() != restart.expected:
+            wrong[text_of(order)] = restart.new.states()
+    assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
+
+
+def test_news_that_the_new_process_reads_reach_the_old_one():
+    restart = Restart()
+    settle(restart.old, restart.new)
+    restart.discovery.change(row("s-1", "Terminating"))
+    restart.new.read_discovery()
+    restart.discovery.change(row("s-2", "Gone"))
+    restart.new.read_discovery()
+    settle(restart.new, restart.old)
+    assert restart.old.states() == {"s-1": "draining", "s-3": "healthy", "s-4": "banned"}
+    # What it reads afterwards from its own version on changes nothing.
+    restart.old.read_discovery()
+    settle(restart.old, restart.new)
+    assert (
+        restart.old.states()
+        == restart.new.states()
+        == {
+            "s-1": "draining",
+            "s-3": "healthy",
+            "s-4": "banned",
+        }
+    )
+
+
+# Guards against: an operator's ban of an executor that the other process did not know yet was lost there.
+def test_ban_of_an_executor_that_only_one_process_knows_applies_to_both():
+    restart = Restart()
+    settle(restart.old, restart.new)
+    restart.start_is_read()
+    restart.old.call_operator("s-5", True)
+    settle(restart.old, restart.new)
+    restart.new.read_discovery()
+    settle(restart.new, restart.old)
+    assert restart.old.states()["s-5"] == restart.new.states()["s-5"] == "banned"
+
+
+# Guards against: a late answer of discovery undid a change that the other process had passed on.
+def test_answer_that_is_older_than_a_list_passed_on_changes_nothing():
+    restart = Restart()
+    settle(restart.old, restart.new)
+    older = restart.discovery.answer(1)
+    restart.discovery.change(row("s-1", "Terminating"))
+    version = restart.discovery.changes[-1][0]
+    restart.old.read_discovery()
+    settle(restart.old, restart.new)
+    restart.new.read_answer(older)
+    settle(restart.new, restart.old)
+    assert restart.new.states()["s-1"] == "draining"
+    assert restart.new.node.parts.host.endpoint_updates.applied.number == version
+
+
+def test_list_is_not_sent_to_a_process_that_does_not_read():
+    """The other process stands still; its own polls tell it what it misses."""
+    restart = Restart()
+    settle(restart.old, restart.new)
+    (channel,) = restart.old.channels
+    channel.is_congested = lambda: True
+    restart.drain_is_read()
+    restart.old.run_batch()
+    channel.is_congested = lambda: False
+    restart.removal_is_read()
+    settle(restart.old, restart.new)
+    # The second change alone would hide that the first one is missing.
+    assert restart.new.states() == EXPECTED_AT_FIRST
+    restart.new.read_discovery()
+    settle(restart.new)
+    assert restart.new.states() == restart.expected
--- a/tests/test_restart_processes.py
+++ b/tests/test_restart_processes.py
@@ -5,6 +5,7 @@
 import signal
 from pathlib import Path
 
+import pytest
 from emulators import WAIT_TIMEOUT, BlockingClient, DiscoveryEmulator, until
 from job_emulators import FinishingExecutor
 from node_files import LISTED_ROW, node_file
@@ -18,6 +19,8 @@
 REQUEST_COUNT = 20
 # Seconds from the connect to a process's socket to its first message there.
 HELLO_TIME_S = 0.05
+# Seconds in which a process has read an answer of discovery and told the other one.
+NEWS_TIME_S = 0.2
 
 
 class PolledDiscovery(DiscoveryEmulator):
@@ -26,25 +29,28 @@
     Attributes:
         log: The `DiscoveryLog`.
         answered: Number of answers.
-        is_silent: Whether it answers no further poll.
+        served_connections: Number of connections, in order, whose polls it answers.
     """
 
     def __init__(self, log):
         super().__init__()
         self.log = log
         self.answered = 0
-        self.is_silent = False
+        self.served_connections = 99
         self.on_poll = self._answer_poll
 
     async def _answer_poll(self, target, writer):
         after = re.search(r"after=(\d+)", target)
         waits = "wait_ms=0" not in target
-        while self.is_silent or (after and waits and self.log.changes[-1][0] <= int(after[1])):
+        while self._is_silent_to(writer) or (after and waits and self.log.changes[-1][0] <= int(after[1])):
             await asyncio.sleep(0.005)
         body = self.log.answer(after and int(after[1]))
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
         self.answered += 1
 
+    def _is_silent_to(self, writer):
+        return writer not in self.writers[: self.served_connections]
+
 
 class NodeOfTwoProcesses:
     """A node whose old process is stopped by a signal while the new one connects to it.
@@ -101,14 +107,29 @@
             assert b" 200 " in await client.response()
             client.leave()
 
+    async def tell_old_process(self, change):
+        """Changes the list and waits until discovery has written it to the old process alone."""
+        answered = self.discovery.answered
+        self.discovery.log.change(change)
+        await until(lambda: self.discovery.answered > answered, "the answer to the long poll")
+
+    async def requests_at_first_executor(self, old):
+        """Ends the old process, and returns which of the new one's requests the first executor gets."""
+        old.process.send_signal(signal.SIGTERM)
+        assert await asyncio.wait_for(old.exit_code(), WAIT_TIMEOUT) == 0
+        before = len(self.executors[0].received)
+        await self.send_requests()
+        for server in (*self.executors, self.discovery):
+            server.server.close()
+        return self.executors[0].received[before:]
+
 
-async def upgrade(folder, tell, ask_again):
-    """Upgrades a node while discovery tells a change to the old process, which stands still.
+async def upgrade_with_crossing_news(folder, change):
+    """Upgrades a node; discovery tells a change to the old process, which stands still, before the hello.
 
     Args:
         folder: An empty folder.
-        tell: Called with the `NodeOfTwoProcesses` while the old process stands still.
-        ask_again: Whether discovery answers polls after this change.
+        change: The fields of the first executor's row that change.
 
     Returns:
         The identifiers of requests that the first executor got after the old process's end.
@@ -122,33 +143,33 @@
         with scene.start_process(2) as new:
             await until(scene.connections_to_old, "the new process")
             await asyncio.sleep(HELLO_TIME_S)
-            answered = scene.discovery.answered
-            tell(scene)
-            await until(lambda: scene.discovery.answered > answered, "the answer to the long poll")
-            scene.discovery.is_silent = not ask_again
+            await scene.tell_old_process({**scene.row("s-1"), **change})
             old.process.send_signal(signal.SIGCONT)
             await scene.until_serving(new)
-            old.process.send_signal(signal.SIGTERM)
-            assert await asyncio.wait_for(old.exit_code(), WAIT_TIMEOUT) == 0
-            before = len(scene.executors[0].received)
-            await scene.send_requests()
-    for server in (*scene.executors, scene.discovery):
-        server.server.close()
-    return scene.executors[0].received[before:]
+            return await scene.requests_at_first_executor(old)
 
 
-def tell_drain(scene):
-    scene.discovery.log.change(scene.row("s-1", "Terminating"))
-
-
-def tell_removal(scene):
-    scene.discovery.log.change({**scene.row("s-1"), "status": "Gone"})
+async def upgrade_with_news_for_old_process(folder):
+    """Upgrades a node; discovery tells a drain to the old process, and nothing to the new one."""
+    scene = NodeOfTwoProcesses(folder)
+    await scene.start_peers()
+    scene.discovery.served_connections = 1
+    with scene.start_process(1) as old:
+        await scene.until_serving(old)
+        await until(lambda: len(scene.discovery.polls) > 1, "the long poll")
+        with scene.start_process(2) as new:
+            await scene.until_serving(new)
+            await scene.tell_old_process(scene.row("s-1", "Terminating"))
+            await asyncio.sleep(NEWS_TIME_S)
+            return await scene.requests_at_first_executor(old)
 
 
 # Guards against: news that reached the old process just before the new one said hello was lost for the node.
-def test_new_process_sends_nothing_to_an_executor_whose_drain_crossed_its_start(tmp_path):
-    assert asyncio.run(upgrade(tmp_path, tell_drain, True)) == []
+@pytest.mark.parametrize("change", ({"status": "Terminating"}, {"status": "Gone"}), ids=("drain", "removal"))
+def test_new_process_sends_nothing_to_an_executor_whose_change_crossed_its_start(tmp_path, change):
+    assert asyncio.run(upgrade_with_crossing_news(tmp_path, change)) == []
 
 
-def test_new_process_sends_nothing_to_an_executor_whose_removal_crossed_its_start(tmp_path):
-    assert asyncio.run(upgrade(tmp_path, tell_removal, True)) == []
+# Guards against: news that reached the old process alone, as discovery then failed, were lost with its end.
+def test_new_process_sends_nothing_to_an_executor_whose_drain_only_the_old_one_was_told(tmp_path):
+    assert asyncio.run(upgrade_with_news_for_old_process(tmp_path)) == []
