Hot restart: a new process asks for the complete list after an earlier version's state

Change: the version in a state counts only if the old process says that it is that of an applied list (shares_lists). After any other state the new process asks discovery for the complete list, once.

--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -60,7 +60,10 @@
 
     def _import_state(self, now, message):
         listing = message["listing"]
-        version = ListVersion(tuple(listing["address"]), listing["index"])
+        # A process of an earlier version may send the version of a list that it has not applied yet. Without a
+        # version the complete list is requested.
+        number = listing["index"] if self.hot_restart.predecessor_shares_lists else None
+        version = ListVersion(tuple(listing["address"]), number)
         logger.info(
             "the old process's state has arrived: list version {version}",
             event="handover-received",
