--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -60,8 +60,8 @@
 
     def _import_state(self, now, message):
         listing = message["listing"]
-        # A process of an earlier version may send the version of a list that it has not applied yet. Without a
-        # version the complete list is requested.
+        # A process of an earlier version may send the version of a list that it has not applied yet. Without
+        # a version the complete list is requested.
         number = listing["index"] if self.hot_restart.predecessor_shares_lists else None
         version = ListVersion(tuple(listing["address"]), number)
         logger.info(
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -774,7 +774,7 @@
 
 HELLO, READY = ['.{"kind":"hello","version":1}'], ['.{"kind":"ready"}']
 HELLO_WITH_IDENTIFIERS = ['.{"kind":"hello","version":1,"takes_identifiers":true}']
-HELLO_OF_THIS_VERSION = ['.{"kind":"hello","version":1,"takes_identifiers":true,"shares_lists":true}']
+HELLO_OF_THIS_VERSION = [HELLO_WITH_IDENTIFIERS[0].replace("}", ',"shares_lists":true}')]
 
 
 def record_handover():
