--- a/grebedyke/service/endpoint_exclusions.py
+++ b/grebedyke/service/endpoint_exclusions.py
@@ -1,6 +1,7 @@
 """Combines the endpoints that components exclude with those that operators have banned."""
 
 from grebedyke.consensus.actions import ExcludeEndpoints
+from grebedyke.service.ban_change import BanChange
 
 ALL_ENDPOINTS = ExcludeEndpoints(frozenset(), all_others=True)
 
@@ -13,7 +14,10 @@
         requested: The last `ExcludeEndpoints` of each component.
         excluded: The endpoints that are banned for a component.
         banned_by_operator: The endpoints that an operator has banned at this node.
-        inherited: The endpoints that the predecessor reported as banned for its components only.
+        inherited: The endpoints that another process of this node has banned for its components. Once this
+            process has the fleet's folder, its own components decide.
+        origins_are_known: Whether the bans of the other process came with who has set them.
+        pass_on: Called with each `BanChange` that this process makes; None without another process.
     """
 
     def __init__(self, node):
@@ -22,6 +26,8 @@
         self.excluded = set()
         self.banned_by_operator = set()
         self.inherited = set()
+        self.origins_are_known = False
+        self.pass_on = None
 
     def exclude_all(self, components):
         """Excludes all endpoints until the components that control exclusions have sent theirs."""
@@ -29,11 +35,27 @@
             component: ALL_ENDPOINTS for component in components if component.controls_exclusions
         }
 
+    def export_state(self):
+        """Returns who has banned which endpoints, for another process of this node, in JSON types."""
+        by_component = self.excluded | self.inherited
+        return {
+            # For a process of an earlier version, which takes all other bans for an operator's.
+            "excluded": sorted(by_component - self.banned_by_operator),
+            "by_component": sorted(by_component),
+            "by_operator": sorted(self.banned_by_operator),
+        }
+
+    def import_state(self, state):
+        """Imports what another process has exported; one of an earlier version tells less or nothing."""
+        self.origins_are_known = "by_operator" in state
+        self.banned_by_operator = {*state.get("by_operator", ())}
+        self.inherited = {*state.get("by_component", state.get("excluded", ()))}
+
     def classify_inherited_bans(self, components):
-        """Attributes the bans that were inherited from the predecessor.
+        """Attributes the bans of another process, whose folder this one has now, to its own components.
 
-        Bans of endpoints that concern a component, or that were banned for a component there, are the
-        components'. The others are an operator's.
+        If that process has not told who has set them, bans of endpoints that concern a component are the
+        components', and those that the process has not named as such are an operator's.
         """
         concerned = {
             name
@@ -43,11 +65,9 @@
         }
         banned = {*self.node.banned_names()}
         self.excluded |= (concerned | self.inherited) & banned
-        self.banned_by_operator |= banned - concerned - self.excluded
-
-    def banned_only_by_components(self):
-        """Returns the endpoints that are banned for a component but not by an operator."""
-        return sorted(self.excluded - self.banned_by_operator)
+        if not self.origins_are_known:
+            self.banned_by_operator |= banned - concerned - self.excluded
+        self.inherited = set()
 
     def request(self, now, component, exclusion):
         """Replaces a component's `ExcludeEndpoints` and applies it."""
@@ -62,19 +82,45 @@
         for name in wanted - self.excluded:
             if self.node.set_ban(now, name, True):
                 self.excluded.add(name)
+                self._pass_on(BanChange(name, True, False, False, True))
         restarted = {name for exclusion in self.requested.values() for name in exclusion.restarted}
         for name in self.excluded - wanted:
             self.excluded.discard(name)
-            if name not in self.banned_by_operator:
+            is_banned = name in self.banned_by_operator
+            if not is_banned:
                 self.node.set_ban(now, name, False, name in restarted)
+            self._pass_on(BanChange(name, False, False, name in restarted, is_banned))
 
     def operator_ban(self, now, name, is_banned):
         """Bans an endpoint for an operator or ends the ban; returns whether the node knows the endpoint."""
-        if is_banned:
-            self.banned_by_operator.add(name)
-        else:
-            self.banned_by_operator.discard(name)
-        is_known = self.node.set_ban(now, name, is_banned or name in self.excluded)
-        if not is_known:
+        _set_member(self.banned_by_operator, name, is_banned)
+        is_banned_by_any = self._is_banned(name)
+        if not self.node.set_ban(now, name, is_banned_by_any):
             self.banned_by_operator.discard(name)
-        return is_known
+            return False
+        self._pass_on(BanChange(name, is_banned, True, True, is_banned_by_any))
+        return True
+
+    def on_passed_on_ban(self, now, change):
+        """Applies a `BanChange` of the other process of this node."""
+        name = change.endpoint_id
+        banned = self.banned_by_operator if change.by_operator else self.inherited
+        _set_member(banned, name, change.is_banned)
+        if not self.node.set_ban(now, name, self._is_banned(name), change.was_restarted):
+            banned.discard(name)
+
+    def _is_banned(self, name):
+        """Returns whether an operator or a component, here or in the other process, bans an endpoint."""
+        return name in self.banned_by_operator or name in self.excluded or name in self.inherited
+
+    def _pass_on(self, change):
+        if self.pass_on:
+            self.pass_on(change)
+
+
+def _set_member(names, name, is_member):
+    """Adds a name to a set or removes it."""
+    if is_member:
+        names.add(name)
+    else:
+        names.discard(name)
--- a/grebedyke/service/endpoint_updates.py
+++ b/grebedyke/service/endpoint_updates.py
@@ -112,7 +112,7 @@
             ],
         }
         if self.exclusions:
-            state["excluded"] = self.exclusions.banned_only_by_components()
+            state |= self.exclusions.export_state()
         return state
 
     def import_state(self, now, state, version):
@@ -132,8 +132,7 @@
         self.pool.update_endpoints(True, addresses)
         self.dispatcher.endpoints.restore(now, state["executors"])
         if self.exclusions:
-            # A process of an earlier version does not export these bans separately.
-            self.exclusions.inherited = {*state.get("excluded", ())}
+            self.exclusions.import_state(state)
         if self.list_listener:
             rows = [_listed_endpoint(EndpointRow(*row), places) for row in state["executors"]["rows"]]
             self.list_listener(now, True, rows)
--- a/grebedyke/service/fleet_assembly.py
+++ b/grebedyke/service/fleet_assembly.py
@@ -123,6 +123,7 @@
     connect_datagrams(parts.peers, host)
     parts.host.endpoint_updates.list_listener = host.endpoints_changed
     parts.host.endpoint_updates.exclusions = host.exclusions
+    host.exclusions.pass_on = parts.process_messages.send_ban_change
     parts.admin_api.set_banned = host.operator_ban
     parts.admin_api.handle_component_call = host.operator_call
     parts.admin_api.max_body_bytes = MAX_CALL_BYTES
@@ -141,7 +142,7 @@
 
     return NodeAccess(
         send_datagram=parts.peers.send,
-        set_ban=parts.admin_api.set_banned,
+        set_ban=parts.host.endpoint_updates.set_banned,
         with_open_attempts=with_open_attempts,
         listed_names=lambda: dispatcher.endpoints.by_id,
         banned_names=lambda: dispatcher.endpoints.banned,
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -19,8 +19,9 @@
 # earlier version ignores the first and does not send the second.
 TAKES_IDENTIFIERS = "takes_identifiers"
 GIVES_IDENTIFIERS = "gives_identifiers"
-# Field of HELLO and STATE: the sender handles LIST, and the version that it sends is that of an applied list.
-SHARES_LISTS = "shares_lists"
+# Field of HELLO and STATE: the sender handles LIST and all fields of BAN, and the version that it sends is
+# that of an applied list.
+SHARES_UPDATES = "shares_updates"
 # Seconds that a successor waits for the predecessor's state. The predecessor may be short of CPU during the
 # start of its successor, and without the state transfer connections have to be closed.
 STATE_TIMEOUT_S = 3.0
@@ -40,7 +41,7 @@
         JOB_UPDATE: A call-back about a request that the sender does not have.
         CONNECTION: A client's connection for the successor.
         LIST: An update of the endpoint list that the sender has applied.
-        BAN: An operator has banned an endpoint or ended the ban.
+        BAN: An operator or a component has banned an endpoint or ended the ban.
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
         IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
@@ -84,13 +85,12 @@
         successor_is_ready: Whether the successor is serving.
         wants_successor: Whether this process listens again after its successor has ended.
         has_inherited: Whether the predecessor's state is applied.
-        list_channels: The channels to processes that handle `LIST`; a process of an earlier version does not.
+        current_channels: The channels to processes that have sent `SHARES_UPDATES`.
         on_predecessor_end: Called when the predecessor has ended.
         on_successor_end: Called when the successor has ended.
         predecessor_gives_identifiers: Whether the predecessor handles `TAKE_IDENTIFIERS`; a process of an
             earlier version does not.
-        predecessor_shares_lists: Whether the predecessor handles `LIST`, and the version in its state is that
-            of an applied list.
+        predecessor_shares_updates: Whether the predecessor has sent `SHARES_UPDATES`.
     """
 
     def __init__(self, loop, enqueue, folder, name, export_state, handlers, on_sharing_changed):
@@ -108,9 +108,9 @@
         self.on_predecessor_end = do_nothing
         self.on_successor_end = do_nothing
         self.predecessor_gives_identifiers = False
-        self.predecessor_shares_lists = False
+        self.predecessor_shares_updates = False
         self.has_inherited = False
-        self.list_channels = []
+        self.current_channels = []
         self._awaits_state = False
         self._state_applied = None  # future of the descriptors that came with the state; None without state
         self._folder_descriptor = None
@@ -145,7 +145,7 @@
         self._state_applied = self.loop.create_future()
         self.predecessor = channel
         hello = {"kind": MessageKind.HELLO, "version": PROTOCOL_VERSION}
-        channel.send({**hello, TAKES_IDENTIFIERS: True, SHARES_LISTS: True})
+        channel.send({**hello, TAKES_IDENTIFIERS: True, SHARES_UPDATES: True})
 
     def listen_for_successor(self):
         """Listens for a successor, in place of the predecessor."""
@@ -212,6 +212,17 @@
             if channel:
                 channel.send({"kind": kind, **fields})
 
+    def send_to_current(self, kind, **fields):
+        """Sends a message to the other processes that handle the messages of this version."""
+        for channel in self.current_channels:
+            channel.send({"kind": kind, **fields})
+
+    def send_to_earlier(self, kind, **fields):
+        """Sends a message to the other processes that are of an earlier version."""
+        for channel in (self.predecessor, self.successor):
+            if channel and channel not in self.current_channels:
+                channel.send({"kind": kind, **fields})
+
     def send_unless_congested(self, kind, **fields):
         """Sends a message to the other process unless it does not read; returns whether that is so."""
         channels = [channel for channel in (self.predecessor, self.successor) if channel]
@@ -222,7 +233,7 @@
 
     def send_list(self, **fields):
         """Sends an update of the list to the other processes that handle it and read their messages."""
-        for channel in self.list_channels:
+        for channel in self.current_channels:
             # Without it the other process misses no change: it asks discovery from its own version on.
             if not channel.is_congested():
                 channel.send({"kind": MessageKind.LIST, **fields})
@@ -261,7 +272,7 @@
         elif kind == MessageKind.STATE and self._awaits_state:
             self._awaits_state = False
             self.predecessor_gives_identifiers = message.pop(GIVES_IDENTIFIERS, False)
-            self.predecessor_shares_lists = message.pop(SHARES_LISTS, False)
+            self.predecessor_shares_updates = message.pop(SHARES_UPDATES, False)
             self.on_sharing_changed(True)
             self.enqueue(self._apply_state, channel, message, descriptors[:])
             descriptors.clear()
@@ -285,9 +296,9 @@
         state, descriptor = self.export_state()
         if hello.get(TAKES_IDENTIFIERS):
             state[GIVES_IDENTIFIERS] = True
-        if hello.get(SHARES_LISTS):
-            state[SHARES_LISTS] = True
-            self.list_channels.append(channel)
+        if hello.get(SHARES_UPDATES):
+            state[SHARES_UPDATES] = True
+            self.current_channels.append(channel)
         self.successor = channel
         channel.send({"kind": MessageKind.STATE, **state}, descriptor)
         self.on_sharing_changed(True)
@@ -303,13 +314,13 @@
             channel.close()
             raise
         self.has_inherited = True
-        if self.predecessor_shares_lists and channel is self.predecessor:
-            self.list_channels.append(channel)
+        if self.predecessor_shares_updates and channel is self.predecessor:
+            self.current_channels.append(channel)
         self._state_applied.set_result(descriptors)
 
     def _on_end(self, channel):
-        if channel in self.list_channels:
-            self.list_channels.remove(channel)
+        if channel in self.current_channels:
+            self.current_channels.remove(channel)
         if channel is self.predecessor:
             self.predecessor = None
             if self._awaits_state:
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -2,6 +2,7 @@
 
 from loguru import logger
 
+from grebedyke.service.ban_change import BanChange
 from grebedyke.service.hot_restart import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.endpoint_rows import ListedEndpoint
@@ -62,7 +63,7 @@
         listing = message["listing"]
         # A process of an earlier version may send the version of a list that it has not applied yet. Without
         # a version the complete list is requested.
-        number = listing["index"] if self.hot_restart.predecessor_shares_lists else None
+        number = listing["index"] if self.hot_restart.predecessor_shares_updates else None
         version = ListVersion(tuple(listing["address"]), number)
         logger.info(
             "the old process's state has arrived: list version {version}",
@@ -96,7 +97,7 @@
 
     def send_list(self, update):
         """Passes on a `ListUpdate` that this process has applied."""
-        if self.hot_restart.list_channels:
+        if self.hot_restart.current_channels:
             self.hot_restart.send_list(
                 address=update.version.source,
                 index=update.version.number,
@@ -106,9 +107,21 @@
             )
 
     def send_ban(self, endpoint_id, is_banned):
-        """Passes on an operator's ban or its end."""
+        """Passes on an operator's ban or its end at a node outside of a fleet."""
         self.hot_restart.send(MessageKind.BAN, name=endpoint_id, out=is_banned)
 
+    def send_ban_change(self, change):
+        """Passes on a `BanChange`; a process of an earlier version learns whether the endpoint is banned."""
+        name = change.endpoint_id
+        self.hot_restart.send_to_earlier(MessageKind.BAN, name=name, out=change.is_banned_by_any)
+        self.hot_restart.send_to_current(
+            MessageKind.BAN,
+            name=name,
+            out=change.is_banned,
+            operator=change.by_operator,
+            restarted=change.was_restarted,
+        )
+
     def send_reload(self):
         """Passes on the signal to reload."""
         self.hot_restart.send(MessageKind.RELOAD)
@@ -139,5 +152,11 @@
         update = ListUpdate(ListVersion(tuple(address), index), after, snapshot, rows)
         self.batch.enqueue(self.host.endpoint_updates.on_passed_on_list, update)
 
-    def _on_ban(self, name, out):
-        self.batch.enqueue(self.host.endpoint_updates.set_banned, name, out)
+    def _on_ban(self, name, out, operator=None, restarted=True):
+        exclusions = self.host.endpoint_updates.exclusions
+        if operator is None or exclusions is None:
+            # From a node outside of a fleet, or from a process of an earlier version.
+            self.batch.enqueue(self.host.endpoint_updates.set_banned, name, out)
+            return
+        change = BanChange(name, out, operator, restarted, is_banned_by_any=out)
+        self.batch.enqueue(exclusions.on_passed_on_ban, change)
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -774,7 +774,7 @@
 
 HELLO, READY = ['.{"kind":"hello","version":1}'], ['.{"kind":"ready"}']
 HELLO_WITH_IDENTIFIERS = ['.{"kind":"hello","version":1,"takes_identifiers":true}']
-HELLO_OF_THIS_VERSION = [HELLO_WITH_IDENTIFIERS[0].replace("}", ',"shares_lists":true}')]
+HELLO_OF_THIS_VERSION = [HELLO_WITH_IDENTIFIERS[0].replace("}", ',"shares_updates":true}')]
 
 
 def record_handover():
@@ -810,9 +810,9 @@
     assert found["banned"] == ["s-2"] and found["banned later"] == ["s-1"]
 
 
-def test_new_process_continues_the_list_of_an_old_one_that_shares_lists(tmp_path):
+def test_new_process_continues_the_list_of_an_old_one_that_shares_updates(tmp_path):
     sample = golden("handover")
-    books = json.loads(sample["old"]["books"][0][0][1:]) | {"shares_lists": True}
+    books = json.loads(sample["old"]["books"][0][0][1:]) | {"shares_updates": True}
     received_packets = {**sample["old"], "books": [["." + json.dumps(books)], 1]}
     _, found = run_with_timeout(new_process_packets(tmp_path, received_packets))
     assert json.loads(orjson.dumps(found)) == sample["found"]
@@ -828,11 +828,11 @@
     assert plain({**sent_packets, "books": sample["old"]["books"]}) == sample["old"]
 
 
-def test_old_process_shares_lists_only_with_a_successor_that_takes_them(tmp_path):
+def test_old_process_shares_updates_only_with_a_successor_that_takes_them(tmp_path):
     sample = golden("handover")
     sent_packets = run_with_timeout(old_process_packets(tmp_path, HELLO_OF_THIS_VERSION, READY))
     books = json.loads(sent_packets["books"][0][0][1:])
-    assert books.pop("shares_lists") is True and books.pop("gives_identifiers") is True
+    assert books.pop("shares_updates") is True and books.pop("gives_identifiers") is True
     assert books == json.loads(sample["old"]["books"][0][0][1:])
     assert plain({**sent_packets, "books": sample["old"]["books"]}) == sample["old"]
 
