Hot restart: a step of a plan is acknowledged by the attempts of both processes

Cause: the components run in the process with the fleet's folder, and counted that process's attempts alone.

Change: an exclusion that is passed on has a number; the other process confirms it once it applies it and has no attempt at the executor. Until then the executor counts as having attempts. Earlier versions get no number and owe no confirmation.

Evidence: with the assembly of before, which asks the own process alone, three of the four tests added to test_restart_bans fail (no executor with open attempts instead of one); the fourth is a counter-check.

--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -92,7 +92,7 @@
         configuration["name"],
         messages.export_state,
         messages.handlers(),
-        partial(_on_sharing_changed, core, peers),
+        partial(_on_sharing_changed, core, peers, messages),
     )
     messages.hot_restart = hot_restart
     identifier_channel = IdentifierChannel(hot_restart, host.requests, core.batch.clock)
@@ -185,12 +185,13 @@
     return is_known
 
 
-def _on_sharing_changed(core, peers, is_shared):
+def _on_sharing_changed(core, peers, messages, is_shared):
     """Adapts the node when a second process of it starts, or when the process is the only one again."""
     core.pool.share_connections(is_shared)
     if not is_shared:
         peers.ensure_open()
         core.host.dispatcher.retry_budget.on_other_process_gone(core.batch.clock())
+        messages.on_other_process_gone()
 
 
 def _prepare_settings(node, configuration):
--- a/grebedyke/service/fleet_assembly.py
+++ b/grebedyke/service/fleet_assembly.py
@@ -4,6 +4,7 @@
 """
 
 import os
+from functools import partial
 
 from grebedyke.consensus import framing
 from grebedyke.consensus.consensus import Consensus
@@ -119,7 +120,7 @@
         build_components(configuration, new_process_id(), parts.batch.clock()),
         node_access(parts),
     )
-    connect_batches(parts.batch, host)
+    connect_batches(parts, host)
     connect_datagrams(parts.peers, host)
     parts.host.endpoint_updates.list_listener = host.endpoints_changed
     parts.host.endpoint_updates.exclusions = host.exclusions
@@ -134,11 +135,12 @@
 def node_access(parts):
     """Returns the `NodeAccess` of a node."""
     dispatcher = parts.host.dispatcher
+    drain = parts.process_messages.drain
 
     def with_open_attempts(names):
-        """Returns the endpoints among these that have open attempts."""
-        endpoints = parts.pool.endpoints
-        return [name for name in names if name in endpoints and endpoints[name].open_attempts]
+        """Returns the endpoints among these that have open attempts here or in another process."""
+        here = open_attempts_here(parts.pool, names)
+        return here + [name for name in names if name in drain.unconfirmed and name not in here]
 
     return NodeAccess(
         send_datagram=parts.peers.send,
@@ -149,15 +151,26 @@
     )
 
 
-def connect_batches(batch, host):
+def open_attempts_here(pool, names):
+    """Returns the endpoints among these that have open attempts in this process."""
+    endpoints = pool.endpoints
+    return [name for name in names if name in endpoints and endpoints[name].open_attempts]
+
+
+def connect_batches(parts, host):
     """Makes each batch carry out the components' actions after the dispatcher's."""
+    batch = parts.batch
+    send_drained = partial(parts.process_messages.send_drained, partial(open_attempts_here, parts.pool))
     next_dispatcher_action = batch.next_action
     carry_out_for_dispatcher = batch.carry_out
 
     def next_action(now):
         """Returns the next action: first the dispatcher's, then the components'."""
         action = next_dispatcher_action(now)
-        return action if action is not None else host.next_action(now)
+        if action is not None:
+            return action
+        send_drained()
+        return host.next_action(now)
 
     def carry_out(now, action):
         """Carries out an action of a component or of the dispatcher."""
--- a/grebedyke/service/hot_restart.py
+++ b/grebedyke/service/hot_restart.py
@@ -19,8 +19,8 @@
 # earlier version ignores the first and does not send the second.
 TAKES_IDENTIFIERS = "takes_identifiers"
 GIVES_IDENTIFIERS = "gives_identifiers"
-# Field of HELLO and STATE: the sender handles LIST and all fields of BAN, and the version that it sends is
-# that of an applied list.
+# Field of HELLO and STATE: the sender handles LIST, DRAINED and all fields of BAN, and the version that it
+# sends is that of an applied list.
 SHARES_UPDATES = "shares_updates"
 # Seconds that a successor waits for the predecessor's state. The predecessor may be short of CPU during the
 # start of its successor, and without the state transfer connections have to be closed.
@@ -42,6 +42,7 @@
         CONNECTION: A client's connection for the successor.
         LIST: An update of the endpoint list that the sender has applied.
         BAN: An operator or a component has banned an endpoint or ended the ban.
+        DRAINED: The sender has no attempt at an endpoint that the receiver's components have excluded.
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
         IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
@@ -58,6 +59,7 @@
     CONNECTION = "client"
     LIST = "list"
     BAN = "hand"
+    DRAINED = "drained"
     RELOAD = "reload"
     TAKE_IDENTIFIERS = "take-identifiers"
     IDENTIFIERS = "identifiers"
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -3,6 +3,7 @@
 from loguru import logger
 
 from grebedyke.service.ban_change import BanChange
+from grebedyke.service.exclusion_drain import ExclusionDrain
 from grebedyke.service.hot_restart import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.endpoint_rows import ListedEndpoint
@@ -21,6 +22,7 @@
         discovery: The `DiscoveryClient`.
         reload: Called when the other process has received the signal to reload; set once the node exists.
         hot_restart: The `HotRestart` that carries the messages; set once it exists.
+        drain: The `ExclusionDrain`.
     """
 
     def __init__(self, loop, batch, host, listener, discovery):
@@ -31,6 +33,7 @@
         self.discovery = discovery
         self.reload = None
         self.hot_restart = None
+        self.drain = ExclusionDrain()
 
     def handlers(self):
         """Returns the handlers for messages of the other process, by kind."""
@@ -40,6 +43,7 @@
             MessageKind.CONNECTION: self._on_connection,
             MessageKind.LIST: self._on_list,
             MessageKind.BAN: self._on_ban,
+            MessageKind.DRAINED: self._on_drained,
             MessageKind.RELOAD: lambda: self.reload(),
         }
 
@@ -114,14 +118,37 @@
         """Passes on a `BanChange`; a process of an earlier version learns whether the endpoint is banned."""
         name = change.endpoint_id
         self.hot_restart.send_to_earlier(MessageKind.BAN, name=name, out=change.is_banned_by_any)
+        number = self._expect_drain(change) if self.hot_restart.current_channels else None
         self.hot_restart.send_to_current(
             MessageKind.BAN,
             name=name,
             out=change.is_banned,
             operator=change.by_operator,
             restarted=change.was_restarted,
+            number=number,
         )
 
+    def _expect_drain(self, change):
+        """Returns the number of an exclusion that the other process has to confirm; None if it has not to."""
+        if change.by_operator:
+            return None
+        if change.is_banned:
+            return self.drain.expect(change.endpoint_id)
+        self.drain.excluded_no_more(change.endpoint_id)
+        return None
+
+    def send_drained(self, with_open_attempts):
+        """Confirms the other process's exclusions of endpoints without open attempts here."""
+        if self.drain.draining:
+            for name, number in self.drain.take_drained(with_open_attempts):
+                self.hot_restart.send_to_current(MessageKind.DRAINED, name=name, number=number)
+
+    def on_other_process_gone(self):
+        """Ends the wait for the other process's confirmations once its requests cannot run any more."""
+        if self.drain.unconfirmed:
+            longest_run = self.host.requests.settings.identifier_retention
+            self.batch.call_later(longest_run, self.drain.forget, self.drain.last_number)
+
     def send_reload(self):
         """Passes on the signal to reload."""
         self.hot_restart.send(MessageKind.RELOAD)
@@ -152,7 +179,7 @@
         update = ListUpdate(ListVersion(tuple(address), index), after, snapshot, rows)
         self.batch.enqueue(self.host.endpoint_updates.on_passed_on_list, update)
 
-    def _on_ban(self, name, out, operator=None, restarted=True):
+    def _on_ban(self, name, out, operator=None, restarted=True, number=None):
         exclusions = self.host.endpoint_updates.exclusions
         if operator is None or exclusions is None:
             # From a node outside of a fleet, or from a process of an earlier version.
@@ -160,3 +187,10 @@
             return
         change = BanChange(name, out, operator, restarted, is_banned_by_any=out)
         self.batch.enqueue(exclusions.on_passed_on_ban, change)
+        if number is not None:
+            self.batch.enqueue(self.drain.drain, name, number)
+        elif not (operator or out):
+            self.batch.enqueue(self.drain.cancel, name)
+
+    def _on_drained(self, name, number):
+        self.batch.enqueue(self.drain.confirmed, name, number)
--- a/tests/test_restart_bans.py
+++ b/tests/test_restart_bans.py
@@ -1,5 +1,7 @@
 """Bans by operators and by components of a fleet, in two processes of one node."""
 
+from types import SimpleNamespace
+
 import pytest
 from loguru import logger
 from node_files import LISTED_ROW
@@ -7,7 +9,7 @@
 
 from grebedyke.consensus.actions import ExcludeEndpoints
 from grebedyke.service.endpoint_exclusions import EndpointExclusions
-from grebedyke.service.fleet_assembly import node_access
+from grebedyke.service.fleet_assembly import connect_batches, node_access
 
 NAMES = ("s-1", "s-2")
 NOTHING_EXCLUDED = ExcludeEndpoints(frozenset(), False)
@@ -31,18 +33,25 @@
     return [{**LISTED_ROW, "name": name} for name in NAMES]
 
 
+# The component host of a process without the fleet's folder: it does nothing.
+IDLE_HOST = SimpleNamespace(next_action=lambda now: None, perform=None, expire=lambda now: None)
+
+
 class FleetProcess(SteppedProcess):
     """A process of a fleet node, whose maintenance is operated by the test.
 
     Attributes:
+        access: Its `NodeAccess`.
         exclusions: Its `EndpointExclusions`.
     """
 
     def __init__(self, discovery):
         super().__init__(discovery, {"index": 1, "endpoints": rows()})
         parts = self.node.parts
-        self.exclusions = EndpointExclusions(node_access(parts))
-        self.exclusions.pass_on = getattr(parts.process_messages, "send_ban_change", None)
+        self.access = node_access(parts)
+        connect_batches(parts, IDLE_HOST)
+        self.exclusions = EndpointExclusions(self.access)
+        self.exclusions.pass_on = parts.process_messages.send_ban_change
         parts.host.endpoint_updates.exclusions = self.exclusions
         parts.admin_api.set_banned = self.exclusions.operator_ban
         self.run_batch()
@@ -52,6 +61,14 @@
         exclusion = ExcludeEndpoints(frozenset(names), False, frozenset(restarted))
         self.batch.enqueue(self.exclusions.request, MAINTENANCE, exclusion)
 
+    def endpoint(self, name):
+        """Returns an executor in the pool."""
+        return self.node.parts.pool.endpoints[name]
+
+    def with_open_attempts(self):
+        """Returns the executors that maintenance takes to have open attempts of this node."""
+        return self.access.with_open_attempts(NAMES)
+
     def take_folder(self):
         """Lets maintenance begin in this process, as the other one has ended."""
         self.exclusions.classify_inherited_bans([MAINTENANCE])
@@ -148,3 +165,62 @@
         endpoints = process.node.parts.host.dispatcher.endpoints
         warmth = [endpoints.warmth(endpoints.by_id[name], process.batch.clock()) for name in NAMES]
         assert warmth[0] == 1 and warmth[1] < 1
+
+
+# Guards against: a machine was reported free while jobs of the other process of an upgrade ran there.
+def test_executor_is_drained_once_both_processes_have_no_attempt_there(old):
+    new = upgrade(old)
+    new.endpoint("s-1").open_attempts = 1
+    old.exclude(*NAMES)
+    old.run_batch()
+    assert old.with_open_attempts() == [*NAMES]  # nothing is known yet of the other process
+    settle(old, new)
+    assert old.with_open_attempts() == ["s-1"]
+    new.endpoint("s-1").open_attempts = 0
+    new.batch.enqueue(lambda now: None)  # the event that ended the attempt
+    settle(new, old)
+    assert old.with_open_attempts() == []
+
+
+def test_confirmation_of_an_earlier_exclusion_does_not_count(old):
+    new = upgrade(old)
+    old.exclude("s-1")
+    old.run_batch()
+    while new.read_message():
+        pass
+    new.run_batch()  # its confirmation is on the way
+    old.exclude()
+    old.run_batch()
+    old.exclude("s-1")
+    old.run_batch()
+    old.read_message()
+    old.run_batch()
+    assert old.with_open_attempts() == ["s-1"]
+    settle(new, old)
+    assert old.with_open_attempts() == []
+
+
+def test_exclusion_that_ends_needs_no_confirmation(old):
+    new = upgrade(old)
+    new.endpoint("s-1").open_attempts = 1
+    old.exclude("s-1")
+    settle(old, new)
+    old.exclude()
+    settle(old, new)
+    assert old.with_open_attempts() == [] and not new.node.parts.process_messages.drain.draining
+
+
+# Jobs of a process that has died may run on until their clients give up.
+def test_attempts_of_a_process_that_died_count_for_the_longest_client_timeout(old):
+    new = upgrade(old)
+    new.endpoint("s-1").open_attempts = 1
+    old.exclude("s-1")
+    settle(old, new)
+    old.hot_restart._on_end(old.hot_restart.successor)
+    assert old.with_open_attempts() == ["s-1"]
+    parts = old.node.parts
+    forget = parts.process_messages.drain.forget
+    (timer,) = [timer for timer in old.batch.timers if timer.call == forget]
+    assert timer.when == old.batch.clock() + parts.host.requests.settings.identifier_retention
+    forget(timer.when, *timer.arguments)
+    assert old.with_open_attempts() == []
