--- a/grebedyke/service/assembly.py
+++ b/grebedyke/service/assembly.py
@@ -19,7 +19,8 @@
 from grebedyke.service.reload import adopt_settings
 from grebedyke.units import TICKS_PER_MILLISECOND
 from grebedyke.wire.client_listener import ClientListener
-from grebedyke.wire.discovery_client import DiscoveryClient, max_list_bytes
+from grebedyke.wire.discovery_client import DiscoveryClient
+from grebedyke.wire.discovery_settings import max_list_bytes
 from grebedyke.wire.executor_pool import ExecutorPool
 from grebedyke.wire.message_memory import MessageMemory, max_message_bytes
 from grebedyke.wire.peer_socket import PeerSocket
--- a/grebedyke/service/component_host.py
+++ b/grebedyke/service/component_host.py
@@ -30,7 +30,8 @@
         send_datagram: send_datagram(node, bytes) to another node.
         set_ban: set_ban(now, name, is_banned, was_restarted=True) bans an endpoint or ends its ban; returns
             whether the node knows the endpoint. After a restart during its ban an endpoint is cold.
-        with_open_attempts: with_open_attempts(names) returns the names that have attempts in flight here.
+        with_open_attempts: with_open_attempts(names) returns the names that have attempts in flight here, or
+            may have some in another process of this node.
         listed_names: Returns the names of all endpoints on the list.
         banned_names: Returns the names of the endpoints that are banned.
     """
--- a/grebedyke/service/identifier_channel.py
+++ b/grebedyke/service/identifier_channel.py
@@ -4,7 +4,7 @@
 
 from loguru import logger
 
-from grebedyke.service.hot_restart import MessageKind
+from grebedyke.service.message_kinds import MessageKind
 from grebedyke.service.request_identifiers import IdentifierMessenger, Ownership
 
 # Seconds for which the start waits for the predecessor's identifiers. Later they still count: until then the
--- a/grebedyke/service/node_settings.py
+++ b/grebedyke/service/node_settings.py
@@ -7,7 +7,7 @@
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND, ticks
 from grebedyke.wire.client_listener import ListenerSettings
 from grebedyke.wire.connection_table import ConnectionLimits
-from grebedyke.wire.discovery_client import DiscoverySettings
+from grebedyke.wire.discovery_settings import DiscoverySettings
 from grebedyke.wire.executor_pool import PoolSettings
 
 # Descriptors that are not part of any share: log and loop (6), listeners, datagrams, discovery (2), hot
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -4,7 +4,7 @@
 
 from grebedyke.service.ban_change import BanChange
 from grebedyke.service.exclusion_drain import ExclusionDrain
-from grebedyke.service.hot_restart import MessageKind
+from grebedyke.service.message_kinds import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.endpoint_rows import ListedEndpoint
 from grebedyke.wire.list_update import ListUpdate, ListVersion
--- a/grebedyke/wire/discovery_client.py
+++ b/grebedyke/wire/discovery_client.py
@@ -1,18 +1,16 @@
 """The discovery client: follows the endpoint list by consecutive long polls on one connection."""
 
 import asyncio
-from typing import NamedTuple
 
 import orjson
 from loguru import logger
 
-from grebedyke.errors import HttpProtocolError
 from grebedyke.units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
-from grebedyke.wire.connection import Connection
+from grebedyke.wire.discovery_connection import DiscoveryConnection
+from grebedyke.wire.discovery_settings import MAX_LIST_BYTES
 from grebedyke.wire.endpoint_rows import parse_endpoint_rows
 from grebedyke.wire.http_messages import request_head
 from grebedyke.wire.list_update import ListUpdate, ListVersion
-from grebedyke.wire.message_memory import BYTES_PER_MB
 
 LIST_TARGET = b"/discovery/hosts"
 # Ticks between an immediate answer without changes and the next poll, which must follow within 200 ms.
@@ -22,72 +20,10 @@
 MAX_QUICK_ANSWERS = 20
 # Ticks for which the answer to a timed-out poll is still accepted.
 LATE_ANSWER_TIME = TICKS_PER_SECOND
-# A complete list can be far larger than the body of a job. Its objects take some eight times its bytes.
-MAX_LIST_BYTES = 16 << 20
-# Share of the node's memory limit for the bytes of a list.
-LIST_SHARE = 1 / 48
 # Maximum number of doublings of the retry delay.
 MAX_DOUBLINGS = 8
 
 
-def max_list_bytes(memory_mb):
-    """Returns the maximum size of a list in bytes for a node with a memory limit in MB.
-
-    >>> max_list_bytes(192), max_list_bytes(4_000) == MAX_LIST_BYTES
-    (4000000, True)
-    """
-    return min(int(memory_mb * BYTES_PER_MB * LIST_SHARE), MAX_LIST_BYTES)
-
-
-class DiscoverySettings(NamedTuple):
-    """Timing of the discovery client, in ticks.
-
-    Attributes:
-        long_poll_wait: How long discovery may delay an answer without changes.
-        answer_grace: Additional time after which the poll times out.
-        retry_delay: Delay after the first failure; it doubles with each further failure.
-        max_retry_delay: Upper bound of the delay. Above `retry_delay` for a discovery that all nodes share:
-            the polls that it rejects come again, and must do so at a lower rate.
-    """
-
-    long_poll_wait: int
-    answer_grace: int
-    retry_delay: int
-    max_retry_delay: int
-
-
-class DiscoveryConnection(Connection):
-    """A connection to discovery.
-
-    Attributes:
-        client: The `DiscoveryClient` that it belongs to.
-    """
-
-    def __init__(self, client):
-        super().__init__(client.batch.touch, reads_responses=True, max_body_bytes=client.max_list_bytes)
-        self.client = client
-
-    def process_input(self):
-        """Passes each response to the client; an invalid response closes the connection."""
-        try:
-            while response := self.parser.next_message():
-                self.client.response_received(self, response)
-        except (HttpProtocolError, ValueError, KeyError, TypeError, AttributeError) as problem:
-            logger.warning("discovery: invalid response: {why}", event="list-fault", why=repr(problem))
-            self.abort()
-
-    def eof_received(self):
-        """Called by asyncio on EOF from discovery, which may complete a response."""
-        response = self.parser.end_of_stream()
-        if response:
-            self.client.response_received(self, response)
-        return False
-
-    def connection_lost(self, exc):
-        """Called by asyncio when the connection is closed."""
-        self.client.connection_lost(self)
-
-
 class DiscoveryClient:
     """Polls discovery for changes of the endpoint list, or for the complete list if versions do not match.
 
--- a/tests/process_pair.py
+++ b/tests/process_pair.py
@@ -8,7 +8,7 @@
 from socketless_node import NOW, FakeEventLoop, connect, receive
 
 from grebedyke.service.assembly import assemble
-from grebedyke.wire.discovery_client import DiscoveryConnection
+from grebedyke.wire.discovery_connection import DiscoveryConnection
 
 # Never used: there are no sockets.
 ADDRESS = "127.0.0.1:2"
--- a/tests/test_discovery_client.py
+++ b/tests/test_discovery_client.py
@@ -12,10 +12,9 @@
     MAX_QUICK_ANSWERS,
     QUICK_ANSWER_TIME,
     DiscoveryClient,
-    DiscoveryConnection,
-    DiscoverySettings,
-    max_list_bytes,
 )
+from grebedyke.wire.discovery_connection import DiscoveryConnection
+from grebedyke.wire.discovery_settings import DiscoverySettings, max_list_bytes
 
 SETTINGS = DiscoverySettings(
     long_poll_wait=50_000, answer_grace=10_000, retry_delay=10_000, max_retry_delay=10_000
--- a/tests/test_process_channel.py
+++ b/tests/test_process_channel.py
@@ -7,7 +7,8 @@
 from socketless_node import SocketlessNode, receive, request
 
 from grebedyke.model.refusal import RefusalReason
-from grebedyke.service.hot_restart import HotRestart, MessageKind
+from grebedyke.service.hot_restart import HotRestart
+from grebedyke.service.message_kinds import MessageKind
 from grebedyke.service.process_channel import CONGESTED_BYTES, ProcessChannel
 from grebedyke.service.request_identifiers import IdentifierMessenger, Ownership
 
