Hot restart: a step waits until the other process applies its exclusions

Maintenance waits for attempts for the drain grace at most, so that a process that stood still for longer was not waited for, and could send attempts to a free machine when it went on. Found by reading Exclusions.acknowledged_revision again, before landing.

Change: the other process confirms each exclusion when it applies it and when it has no attempt there. The first confirmation is waited for without a bound, the second as attempts of the own process are.

Test: test_acknowledgement_waits_for_another_process_of_the_node_beyond_the_drain_grace, and the tests of test_restart_bans, which ask for both facts now.

--- a/grebedyke/consensus/component.py
+++ b/grebedyke/consensus/component.py
@@ -7,6 +7,7 @@
 
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Iterable
 
 from grebedyke.consensus.actions import Action, AnswerCall, ExcludeEndpoints, LogEvent, SendMessage, WakeAt
 from grebedyke.units import TICKS_PER_MILLISECOND
@@ -85,8 +86,14 @@
                 of its process in milliseconds of Unix time.
         """
 
-    def open_attempts_reported(self, now: int, names: list[str]) -> None:
-        """Reports those `watched_endpoints` that have attempts of this node in flight."""
+    def open_attempts_reported(self, now: int, names: list[str], unapplied: Iterable[str] = ()) -> None:
+        """Reports those `watched_endpoints` that have attempts of this node in flight.
+
+        Args:
+            now: The node's clock, in ticks.
+            names: These endpoints.
+            unapplied: Endpoints that another process of this node may still use.
+        """
 
     def operator_call(self, now: int, call, method: bytes, path: bytes, body: dict | None) -> None:
         """Handles an operator's call below one of the `call_paths`; the answer is an `AnswerCall` action."""
--- a/grebedyke/maintenance/component.py
+++ b/grebedyke/maintenance/component.py
@@ -139,12 +139,12 @@
         """Updates the endpoint list from a full list or a change."""
         self.endpoints.update(now, complete, rows)
 
-    def open_attempts_reported(self, now, names):
+    def open_attempts_reported(self, now, names, unapplied=()):
         """Records the open attempts at excluded endpoints and acknowledges a change at once.
 
         The driver may be waiting for these attempts to end.
         """
-        if self.exclusions.update_open_names(names):
+        if self.exclusions.update_open_names(names, unapplied):
             self.lease.next_request_at = now
 
     def expire(self, now):
--- a/grebedyke/maintenance/exclusions.py
+++ b/grebedyke/maintenance/exclusions.py
@@ -19,12 +19,14 @@
         drain_grace: How long to wait for attempts at an excluded endpoint to end, in ticks.
         names: The excluded endpoints.
         open_names: Excluded endpoints with attempts of this node in flight, from the host's last report.
+        unapplied: Excluded endpoints that another process of this node may still use, from the same report.
     """
 
     def __init__(self, drain_grace):
         self.drain_grace = drain_grace
         self.names = frozenset()
         self.open_names = frozenset()
+        self.unapplied = frozenset()
         self._excluded_since: dict[str, int] = {}
         self._known_out: set[str] = set()
         self._last_reported: tuple[frozenset[str], bool] | None = None
@@ -62,19 +64,20 @@
         candidates = {name for name in released if name in self._known_out or name not in rollout.machines}
         return frozenset(candidates.union(rollout.machines_in([MachineState.BACK])))
 
-    def update_open_names(self, names):
-        """Records the endpoints with open attempts; returns whether they differ from the last report."""
-        open_names = frozenset(names)
-        changed = open_names != self.open_names
-        self.open_names = open_names
-        return changed
+    def update_open_names(self, names, unapplied=()):
+        """Records the host's report; returns whether it differs from the last one."""
+        before = self.open_names, self.unapplied
+        self.open_names = frozenset(names)
+        self.unapplied = frozenset(unapplied)
+        return before != (self.open_names, self.unapplied)
 
     def acknowledged_revision(self, now, rollout, persisted_revision):
         """Returns the newest revision that this node acknowledges.
 
         The acknowledgement guarantees that this node has no attempts in flight at machines that are out at
         that revision, and that the revision is on disk, so the guarantee survives a restart. Attempts are
-        waited for no longer than the drain grace.
+        waited for no longer than the drain grace, but another process of this node until it applies the
+        exclusion: it could begin further attempts.
 
         While an attempt is open, the acknowledgement stays below the number of the machine's status, even if
         the revision on disk is lower anyway. Otherwise the acknowledgement would skip that number once the
@@ -82,8 +85,8 @@
         """
         draining = [
             name
-            for name in self.open_names & self.names
-            if now < self._excluded_since.get(name, now) + self.drain_grace
+            for name in (self.open_names | self.unapplied) & self.names
+            if name in self.unapplied or now < self._excluded_since.get(name, now) + self.drain_grace
         ]
         numbers = [rollout.machines[name].number for name in draining if name in rollout.machines]
         return min([persisted_revision, *(number - 1 for number in numbers)])
--- a/grebedyke/service/component_host.py
+++ b/grebedyke/service/component_host.py
@@ -32,6 +32,8 @@
             whether the node knows the endpoint. After a restart during its ban an endpoint is cold.
         with_open_attempts: with_open_attempts(names) returns the names that have attempts in flight here, or
             may have some in another process of this node.
+        unapplied: unapplied(names) returns the names that another process of this node may still use although
+            they are excluded.
         listed_names: Returns the names of all endpoints on the list.
         banned_names: Returns the names of the endpoints that are banned.
     """
@@ -39,6 +41,7 @@
     send_datagram: Callable[[int, bytes], None]
     set_ban: Callable[..., bool]
     with_open_attempts: Callable[[Iterable[str]], list[str]]
+    unapplied: Callable[[Iterable[str]], list[str]]
     listed_names: Callable[[], Iterable[str]]
     banned_names: Callable[[], Iterable[str]]
 
@@ -199,7 +202,8 @@
         for component in self.components:
             if component.watched_endpoints:
                 names = self.node.with_open_attempts(component.watched_endpoints)
-                component.open_attempts_reported(now, names)
+                unapplied = self.node.unapplied(component.watched_endpoints)
+                component.open_attempts_reported(now, names, unapplied)
             action = component.next_action(now)
             if action is not None:
                 return ComponentAction(component, action)
--- a/grebedyke/service/fleet_assembly.py
+++ b/grebedyke/service/fleet_assembly.py
@@ -135,17 +135,18 @@
 def node_access(parts):
     """Returns the `NodeAccess` of a node."""
     dispatcher = parts.host.dispatcher
-    drain = parts.process_messages.drain
+    confirmations = parts.process_messages.confirmations
 
     def with_open_attempts(names):
         """Returns the endpoints among these that have open attempts here or in another process."""
         here = open_attempts_here(parts.pool, names)
-        return here + [name for name in names if name in drain.unconfirmed and name not in here]
+        return here + [name for name in names if name in confirmations.open_elsewhere and name not in here]
 
     return NodeAccess(
         send_datagram=parts.peers.send,
         set_ban=parts.host.endpoint_updates.set_banned,
         with_open_attempts=with_open_attempts,
+        unapplied=lambda names: [name for name in names if name in confirmations.unapplied],
         listed_names=lambda: dispatcher.endpoints.by_id,
         banned_names=lambda: dispatcher.endpoints.banned,
     )
@@ -160,7 +161,7 @@
 def connect_batches(parts, host):
     """Makes each batch carry out the components' actions after the dispatcher's."""
     batch = parts.batch
-    send_drained = partial(parts.process_messages.send_drained, partial(open_attempts_here, parts.pool))
+    with_open_attempts = partial(open_attempts_here, parts.pool)
     next_dispatcher_action = batch.next_action
     carry_out_for_dispatcher = batch.carry_out
 
@@ -169,7 +170,7 @@
         action = next_dispatcher_action(now)
         if action is not None:
             return action
-        send_drained()
+        parts.process_messages.send_confirmations(with_open_attempts)
         return host.next_action(now)
 
     def carry_out(now, action):
--- a/grebedyke/service/message_kinds.py
+++ b/grebedyke/service/message_kinds.py
@@ -7,7 +7,7 @@
 # earlier version ignores the first and does not send the second.
 TAKES_IDENTIFIERS = "takes_identifiers"
 GIVES_IDENTIFIERS = "gives_identifiers"
-# Field of HELLO and STATE: the sender handles LIST, DRAINED and all fields of BAN, and the version that it
+# Field of HELLO and STATE: the sender handles LIST, EXCLUDED and all fields of BAN, and the version that it
 # sends is that of an applied list.
 SHARES_UPDATES = "shares_updates"
 
@@ -23,7 +23,7 @@
         CONNECTION: A client's connection for the successor.
         LIST: An update of the endpoint list that the sender has applied.
         BAN: An operator or a component has banned an endpoint or ended the ban.
-        DRAINED: The sender has no attempt at an endpoint that the receiver's components have excluded.
+        EXCLUDED: The sender applies an exclusion of the receiver's components.
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
         IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
@@ -40,7 +40,7 @@
     CONNECTION = "client"
     LIST = "list"
     BAN = "hand"
-    DRAINED = "drained"
+    EXCLUDED = "excluded"
     RELOAD = "reload"
     TAKE_IDENTIFIERS = "take-identifiers"
     IDENTIFIERS = "identifiers"
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -3,7 +3,7 @@
 from loguru import logger
 
 from grebedyke.service.ban_change import BanChange
-from grebedyke.service.exclusion_drain import ExclusionDrain
+from grebedyke.service.exclusion_confirmations import Confirmation, ExclusionConfirmations
 from grebedyke.service.message_kinds import MessageKind
 from grebedyke.wire.connection_end import ConnectionEnd
 from grebedyke.wire.endpoint_rows import ListedEndpoint
@@ -22,7 +22,7 @@
         discovery: The `DiscoveryClient`.
         reload: Called when the other process has received the signal to reload; set once the node exists.
         hot_restart: The `HotRestart` that carries the messages; set once it exists.
-        drain: The `ExclusionDrain`.
+        confirmations: The `ExclusionConfirmations`.
     """
 
     def __init__(self, loop, batch, host, listener, discovery):
@@ -33,7 +33,7 @@
         self.discovery = discovery
         self.reload = None
         self.hot_restart = None
-        self.drain = ExclusionDrain()
+        self.confirmations = ExclusionConfirmations()
 
     def handlers(self):
         """Returns the handlers for messages of the other process, by kind."""
@@ -43,7 +43,7 @@
             MessageKind.CONNECTION: self._on_connection,
             MessageKind.LIST: self._on_list,
             MessageKind.BAN: self._on_ban,
-            MessageKind.DRAINED: self._on_drained,
+            MessageKind.EXCLUDED: self._on_excluded,
             MessageKind.RELOAD: lambda: self.reload(),
         }
 
@@ -118,7 +118,7 @@
         """Passes on a `BanChange`; a process of an earlier version learns whether the endpoint is banned."""
         name = change.endpoint_id
         self.hot_restart.send_to_earlier(MessageKind.BAN, name=name, out=change.is_banned_by_any)
-        number = self._expect_drain(change) if self.hot_restart.current_channels else None
+        number = self._exclusion_number(change) if self.hot_restart.current_channels else None
         self.hot_restart.send_to_current(
             MessageKind.BAN,
             name=name,
@@ -128,26 +128,29 @@
             number=number,
         )
 
-    def _expect_drain(self, change):
+    def _exclusion_number(self, change):
         """Returns the number of an exclusion that the other process has to confirm; None if it has not to."""
         if change.by_operator:
             return None
         if change.is_banned:
-            return self.drain.expect(change.endpoint_id)
-        self.drain.excluded_no_more(change.endpoint_id)
+            return self.confirmations.expect(change.endpoint_id)
+        self.confirmations.end(change.endpoint_id)
         return None
 
-    def send_drained(self, with_open_attempts):
-        """Confirms the other process's exclusions of endpoints without open attempts here."""
-        if self.drain.draining:
-            for name, number in self.drain.take_drained(with_open_attempts):
-                self.hot_restart.send_to_current(MessageKind.DRAINED, name=name, number=number)
+    def send_confirmations(self, with_open_attempts):
+        """Confirms the other process's exclusions; see `ExclusionConfirmations.take`."""
+        if self.confirmations.to_confirm:
+            for name, number, is_drained in self.confirmations.take(with_open_attempts):
+                self.hot_restart.send_to_current(
+                    MessageKind.EXCLUDED, name=name, number=number, drained=is_drained
+                )
 
     def on_other_process_gone(self):
-        """Ends the wait for the other process's confirmations once its requests cannot run any more."""
-        if self.drain.unconfirmed:
+        """Ends the wait for the other process's confirmations once its jobs cannot run any more."""
+        last_number = self.confirmations.other_process_ended()
+        if self.confirmations.open_elsewhere:
             longest_run = self.host.requests.settings.identifier_retention
-            self.batch.call_later(longest_run, self.drain.forget, self.drain.last_number)
+            self.batch.call_later(longest_run, self.confirmations.forget, last_number)
 
     def send_reload(self):
         """Passes on the signal to reload."""
@@ -188,9 +191,9 @@
         change = BanChange(name, out, operator, restarted, is_banned_by_any=out)
         self.batch.enqueue(exclusions.on_passed_on_ban, change)
         if number is not None:
-            self.batch.enqueue(self.drain.drain, name, number)
+            self.batch.enqueue(self.confirmations.excluded, name, number)
         elif not (operator or out):
-            self.batch.enqueue(self.drain.cancel, name)
+            self.batch.enqueue(self.confirmations.excluded_no_more, name)
 
-    def _on_drained(self, name, number):
-        self.batch.enqueue(self.drain.confirmed, name, number)
+    def _on_excluded(self, name, number, drained):
+        self.batch.enqueue(self.confirmations.receive, Confirmation(name, number, drained))
--- a/grebedyke/testbed/hollow_node.py
+++ b/grebedyke/testbed/hollow_node.py
@@ -144,6 +144,7 @@
             # Without executors every endpoint that is to be excluded counts as known.
             set_ban=lambda now, name, is_banned, was_restarted=True: True,
             with_open_attempts=lambda names: [],
+            unapplied=lambda names: [],
             listed_names=lambda: [row[0] for row in self._shared.endpoint_rows],
             banned_names=lambda: [],
         )
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -6,6 +6,7 @@
 from grebedyke.consensus.consensus import Consensus
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.component import Maintenance
+from grebedyke.maintenance.exclusions import Exclusions
 from grebedyke.maintenance.messages import LeaseAnswer
 from grebedyke.maintenance.plan import LatePolicy, Plan, ReturnSignal
 from grebedyke.maintenance.rollout import MachineState, MachineStatus, Rollout, RolloutPhase
@@ -131,6 +132,17 @@
     assert acknowledged_revision(60, 20) == 19
 
 
+def test_acknowledgement_waits_for_another_process_of_the_node_beyond_the_drain_grace():
+    """A hot restart: a process that stands still may send attempts when it goes on."""
+    exclusions = Exclusions(DRAIN_GRACE)
+    rollout = make_rollout(20, {"e4": MachineStatus(MachineState.LEAVING, 18, 0)})
+    exclusions.update(0, rollout, is_certain=True, all_others=False)
+    assert exclusions.update_open_names([], ["e4"])
+    assert exclusions.acknowledged_revision(10 * DRAIN_GRACE, rollout, 20) == 17
+    assert exclusions.update_open_names(["e4"], [])
+    assert exclusions.acknowledged_revision(10 * DRAIN_GRACE, rollout, 20) == 20
+
+
 def test_a_rollout_keeps_its_wire_form_and_unknown_fields():
     """Nodes of two versions run side by side: an older one must not drop fields that are unknown to it."""
     plan = make_plan().encode() | {"later": [1]}
--- a/tests/test_restart_bans.py
+++ b/tests/test_restart_bans.py
@@ -65,10 +65,6 @@
         """Returns an executor in the pool."""
         return self.node.parts.pool.endpoints[name]
 
-    def with_open_attempts(self):
-        """Returns the executors that maintenance takes to have open attempts of this node."""
-        return self.access.with_open_attempts(NAMES)
-
     def take_folder(self):
         """Lets maintenance begin in this process, as the other one has ended."""
         self.exclusions.classify_inherited_bans([MAINTENANCE])
@@ -167,19 +163,20 @@
         assert warmth[0] == 1 and warmth[1] < 1
 
 
-# Guards against: a machine was reported free while jobs of the other process of an upgrade ran there.
-def test_executor_is_drained_once_both_processes_have_no_attempt_there(old):
+# Guards against: a machine was reported free while jobs of the other process of an upgrade ran there, or while
+# that process could still send it some.
+def test_step_waits_for_both_processes(old):
     new = upgrade(old)
     new.endpoint("s-1").open_attempts = 1
     old.exclude(*NAMES)
     old.run_batch()
-    assert old.with_open_attempts() == [*NAMES]  # nothing is known yet of the other process
+    assert old.access.unapplied(NAMES) == [*NAMES]  # the other process has not read it
     settle(old, new)
-    assert old.with_open_attempts() == ["s-1"]
+    assert old.access.unapplied(NAMES) == [] and old.access.with_open_attempts(NAMES) == ["s-1"]
     new.endpoint("s-1").open_attempts = 0
     new.batch.enqueue(lambda now: None)  # the event that ended the attempt
     settle(new, old)
-    assert old.with_open_attempts() == []
+    assert old.access.with_open_attempts(NAMES) == []
 
 
 def test_confirmation_of_an_earlier_exclusion_does_not_count(old):
@@ -195,9 +192,9 @@
     old.run_batch()
     old.read_message()
     old.run_batch()
-    assert old.with_open_attempts() == ["s-1"]
+    assert old.access.unapplied(NAMES) == ["s-1"]
     settle(new, old)
-    assert old.with_open_attempts() == []
+    assert old.access.unapplied(NAMES) == old.access.with_open_attempts(NAMES) == []
 
 
 def test_exclusion_that_ends_needs_no_confirmation(old):
@@ -207,20 +204,21 @@
     settle(old, new)
     old.exclude()
     settle(old, new)
-    assert old.with_open_attempts() == [] and not new.node.parts.process_messages.drain.draining
+    assert old.access.with_open_attempts(NAMES) == []
+    assert not new.node.parts.process_messages.confirmations.to_confirm
 
 
-# Jobs of a process that has died may run on until their clients give up.
+# Jobs of a process that has died may run on until their clients give up, but it begins no others.
 def test_attempts_of_a_process_that_died_count_for_the_longest_client_timeout(old):
     new = upgrade(old)
     new.endpoint("s-1").open_attempts = 1
-    old.exclude("s-1")
-    settle(old, new)
+    old.exclude(*NAMES)
+    old.run_batch()
     old.hot_restart._on_end(old.hot_restart.successor)
-    assert old.with_open_attempts() == ["s-1"]
+    assert old.access.unapplied(NAMES) == [] and old.access.with_open_attempts(NAMES) == [*NAMES]
     parts = old.node.parts
-    forget = parts.process_messages.drain.forget
+    forget = parts.process_messages.confirmations.forget
     (timer,) = [timer for timer in old.batch.timers if timer.call == forget]
     assert timer.when == old.batch.clock() + parts.host.requests.settings.identifier_retention
     forget(timer.when, *timer.arguments)
-    assert old.with_open_attempts() == []
+    assert old.access.with_open_attempts(NAMES) == []
