--- a/grebedyke/service/exclusion_confirmations.py
+++ b/grebedyke/service/exclusion_confirmations.py
@@ -1,9 +1,9 @@
 """Confirmations of exclusions by the other process of this node.
 
 A step of a plan is acknowledged once this node applies its exclusions and has no attempt at the excluded
-endpoints, or has waited long enough for their end. During a hot restart the components run in one process, and
-the other one serves too. It confirms each exclusion twice: when it applies it, and when it has no attempt at the
-endpoint. The methods that take the time are events of a batch.
+endpoints, or has waited long enough for their end. During a hot restart the components run in one process,
+and the other one serves too. It confirms each exclusion twice: when it applies it, and when it has no attempt
+at the endpoint. The methods that take the time are events of a batch.
 """
 
 from typing import NamedTuple
--- a/tests/test_restart_bans.py
+++ b/tests/test_restart_bans.py
@@ -163,8 +163,8 @@
         assert warmth[0] == 1 and warmth[1] < 1
 
 
-# Guards against: a machine was reported free while jobs of the other process of an upgrade ran there, or while
-# that process could still send it some.
+# Guards against: a machine was reported free while jobs of the other process of an upgrade ran there, or
+# while that process could still send it some.
 def test_step_waits_for_both_processes(old):
     new = upgrade(old)
     new.endpoint("s-1").open_attempts = 1
