Hot restart: a process that runs no components goes by a lease of the one that does

Cause: a node that cannot renew its view lease excludes all that its plan may take out, and the fleet counts on that. The new process runs no components and had no lease: it went by what the old one had banned when it last sent.

Change: the old process sends until when its exclusions are complete and what is to be excluded after that, with each renewal. The new one excludes it at the lease's end, also right before requests are written, and ends that with the next renewal or when it has the folder. It is not passed on. Nothing is computed while no other process is there.

Evidence: with the end of the lease taken out, two of the four tests added to test_restart_bans fail (s-1 stays in use); the others are counter-checks. The scene with real processes and a stopped one was not played.

--- a/grebedyke/consensus/component.py
+++ b/grebedyke/consensus/component.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 
 from grebedyke.consensus.actions import Action, AnswerCall, ExcludeEndpoints, LogEvent, SendMessage, WakeAt
+from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.units import TICKS_PER_MILLISECOND
 
 MIN_WAKE_DELAY = TICKS_PER_MILLISECOND
@@ -108,6 +109,10 @@
         """Returns the endpoints that this component may have excluded in an earlier process."""
         return []
 
+    def exclusion_lease(self) -> ExclusionLease | None:
+        """Returns until when the requested exclusions are complete; None if it requests no exclusions."""
+        return None
+
     # Shared by all components.
 
     def send(self, node, message):
--- a/grebedyke/maintenance/component.py
+++ b/grebedyke/maintenance/component.py
@@ -3,11 +3,12 @@
 from functools import partial
 
 from grebedyke.consensus.component import Component
+from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.errors import ConfigurationError
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.driver import Driver
 from grebedyke.maintenance.endpoints import KnownEndpoints
-from grebedyke.maintenance.exclusions import Exclusions
+from grebedyke.maintenance.exclusions import Exclusions, excluded_endpoints
 from grebedyke.maintenance.messages import LeaseAnswer, LeaseRequest, MessageKind
 from grebedyke.maintenance.observations import Observations
 from grebedyke.maintenance.operator_calls import (
@@ -135,6 +136,11 @@
         if action is not None:
             self.pending_actions.append(action)
 
+    def exclusion_lease(self):
+        """Returns the end of the view lease, and what this node excludes without one."""
+        names = excluded_endpoints(self.rollout, is_certain=False)
+        return ExclusionLease(self.lease.certain_until or LOST, tuple(sorted(names)), self.has_no_view())
+
     def endpoints_changed(self, now, complete, rows):
         """Updates the endpoint list from a full list or a change."""
         self.endpoints.update(now, complete, rows)
--- a/grebedyke/service/component_host.py
+++ b/grebedyke/service/component_host.py
@@ -13,8 +13,10 @@
 
 from grebedyke.consensus import actions, framing
 from grebedyke.consensus.component import Component
+from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.errors import ConfigurationError, ForeignRecordError
 from grebedyke.service.endpoint_exclusions import EndpointExclusions
+from grebedyke.service.inherited_exclusions import InheritedExclusions
 from grebedyke.units import TICKS_PER_SECOND
 
 LOCK_RETRY_INTERVAL = TICKS_PER_SECOND // 10
@@ -34,6 +36,8 @@
             may have some in another process of this node.
         unapplied: unapplied(names) returns the names that another process of this node may still use although
             they are excluded.
+        has_other_process: Returns whether another process of this node takes exclusion leases.
+        send_exclusion_lease: Sends an `ExclusionLease` to another process of this node, if there is one.
         listed_names: Returns the names of all endpoints on the list.
         banned_names: Returns the names of the endpoints that are banned.
     """
@@ -42,6 +46,8 @@
     set_ban: Callable[..., bool]
     with_open_attempts: Callable[[Iterable[str]], list[str]]
     unapplied: Callable[[Iterable[str]], list[str]]
+    has_other_process: Callable[[], bool]
+    send_exclusion_lease: Callable[[ExclusionLease], None]
     listed_names: Callable[[], Iterable[str]]
     banned_names: Callable[[], Iterable[str]]
 
@@ -76,6 +82,7 @@
         is_waiting_for_folder: Whether another process was found to have locked the folder, and this was
             logged.
         exclusions: The `EndpointExclusions`.
+        inherited_exclusions: The `InheritedExclusions`, until the components are started.
     """
 
     def __init__(self, loop, batch, record_files, fleet, components, node):
@@ -92,6 +99,7 @@
         self.is_started = False
         self.is_waiting_for_folder = False
         self.exclusions = EndpointExclusions(node)
+        self.inherited_exclusions = InheritedExclusions(self.exclusions, batch)
         self._performers = {
             actions.SendMessage: self._send_message,
             actions.PersistRecord: self._persist_record,
@@ -137,6 +145,7 @@
         except ForeignRecordError as problem:
             raise ConfigurationError(f"setting fleet.folder is not this node's: {problem}") from None
         self.exclusions.classify_inherited_bans(self.components)
+        self.inherited_exclusions.end()
         self.is_started = True
         self._request_batch()
 
@@ -193,6 +202,11 @@
         """Bans an endpoint for an operator or ends the ban; returns whether the node knows the endpoint."""
         return self.exclusions.operator_ban(now, name, is_banned)
 
+    def receive_exclusion_lease(self, now, lease):
+        """Handles an `ExclusionLease` of another process of this node, which runs the components."""
+        if not self.is_started:
+            self.inherited_exclusions.renew(now, lease)
+
     # Output.
 
     def next_action(self, now):
@@ -200,6 +214,8 @@
         if not self.is_started:
             return None
         for component in self.components:
+            if self.node.has_other_process() and (lease := component.exclusion_lease()):
+                self.node.send_exclusion_lease(lease)
             if component.watched_endpoints:
                 names = self.node.with_open_attempts(component.watched_endpoints)
                 unapplied = self.node.unapplied(component.watched_endpoints)
@@ -219,6 +235,7 @@
         If the process was stopped since the start of the batch, an exclusion may be overdue.
         """
         if not self.is_started:
+            self.inherited_exclusions.expire(now)
             return
         for component in self.components:
             component.expire(now)
--- a/grebedyke/service/endpoint_exclusions.py
+++ b/grebedyke/service/endpoint_exclusions.py
@@ -3,6 +3,8 @@
 from grebedyke.consensus.actions import ExcludeEndpoints
 from grebedyke.service.ban_change import BanChange
 
+# Stands for the other process of this node among those that request exclusions.
+OTHER_PROCESS = "other process"
 ALL_ENDPOINTS = ExcludeEndpoints(frozenset(), all_others=True)
 
 
@@ -79,17 +81,21 @@
         wanted = {name for exclusion in self.requested.values() for name in exclusion.names}
         if any(exclusion.all_others for exclusion in self.requested.values()):
             wanted |= {*self.node.listed_names()}
+        # What is excluded here because the other process stands still is not that one's to know.
+        is_passed_on = OTHER_PROCESS not in self.requested
         for name in wanted - self.excluded:
             if self.node.set_ban(now, name, True):
                 self.excluded.add(name)
-                self._pass_on(BanChange(name, True, False, False, True))
+                if is_passed_on:
+                    self._pass_on(BanChange(name, True, False, False, True))
         restarted = {name for exclusion in self.requested.values() for name in exclusion.restarted}
         for name in self.excluded - wanted:
             self.excluded.discard(name)
-            is_banned = name in self.banned_by_operator
+            is_banned = self._is_banned(name)
             if not is_banned:
                 self.node.set_ban(now, name, False, name in restarted)
-            self._pass_on(BanChange(name, False, False, name in restarted, is_banned))
+            if is_passed_on:
+                self._pass_on(BanChange(name, False, False, name in restarted, is_banned))
 
     def operator_ban(self, now, name, is_banned):
         """Bans an endpoint for an operator or ends the ban; returns whether the node knows the endpoint."""
--- a/grebedyke/service/fleet_assembly.py
+++ b/grebedyke/service/fleet_assembly.py
@@ -125,6 +125,7 @@
     parts.host.endpoint_updates.list_listener = host.endpoints_changed
     parts.host.endpoint_updates.exclusions = host.exclusions
     host.exclusions.pass_on = parts.process_messages.send_ban_change
+    parts.process_messages.on_exclusion_lease = host.receive_exclusion_lease
     parts.admin_api.set_banned = host.operator_ban
     parts.admin_api.handle_component_call = host.operator_call
     parts.admin_api.max_body_bytes = MAX_CALL_BYTES
@@ -147,6 +148,8 @@
         set_ban=parts.host.endpoint_updates.set_banned,
         with_open_attempts=with_open_attempts,
         unapplied=lambda names: [name for name in names if name in confirmations.unapplied],
+        has_other_process=lambda: bool(parts.hot_restart.current_channels),
+        send_exclusion_lease=parts.process_messages.send_exclusion_lease,
         listed_names=lambda: dispatcher.endpoints.by_id,
         banned_names=lambda: dispatcher.endpoints.banned,
     )
--- a/grebedyke/service/message_kinds.py
+++ b/grebedyke/service/message_kinds.py
@@ -7,8 +7,8 @@
 # earlier version ignores the first and does not send the second.
 TAKES_IDENTIFIERS = "takes_identifiers"
 GIVES_IDENTIFIERS = "gives_identifiers"
-# Field of HELLO and STATE: the sender handles LIST, EXCLUDED and all fields of BAN, and the version that it
-# sends is that of an applied list.
+# Field of HELLO and STATE: the sender handles LIST, EXCLUDED, EXCLUSION_LEASE and all fields of BAN, and the
+# version that it sends is that of an applied list.
 SHARES_UPDATES = "shares_updates"
 
 
@@ -24,6 +24,7 @@
         LIST: An update of the endpoint list that the sender has applied.
         BAN: An operator or a component has banned an endpoint or ended the ban.
         EXCLUDED: The sender applies an exclusion of the receiver's components.
+        EXCLUSION_LEASE: Until when the exclusions of the sender's components are complete.
         RELOAD: The sender received the signal to reload.
         TAKE_IDENTIFIERS: The successor asks for the ownership of identifiers; see `request_identifiers`.
         IDENTIFIERS: The predecessor gives it, with the identifiers that it holds.
@@ -41,6 +42,7 @@
     LIST = "list"
     BAN = "hand"
     EXCLUDED = "excluded"
+    EXCLUSION_LEASE = "exclusion-lease"
     RELOAD = "reload"
     TAKE_IDENTIFIERS = "take-identifiers"
     IDENTIFIERS = "identifiers"
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -2,6 +2,7 @@
 
 from loguru import logger
 
+from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.service.ban_change import BanChange
 from grebedyke.service.exclusion_confirmations import Confirmation, ExclusionConfirmations
 from grebedyke.service.message_kinds import MessageKind
@@ -23,6 +24,8 @@
         reload: Called when the other process has received the signal to reload; set once the node exists.
         hot_restart: The `HotRestart` that carries the messages; set once it exists.
         confirmations: The `ExclusionConfirmations`.
+        on_exclusion_lease: Called with the time and an `ExclusionLease` of the other process; None outside
+            of a fleet.
     """
 
     def __init__(self, loop, batch, host, listener, discovery):
@@ -34,6 +37,8 @@
         self.reload = None
         self.hot_restart = None
         self.confirmations = ExclusionConfirmations()
+        self.on_exclusion_lease = None
+        self._sent_leases = {}  # by channel, the last one
 
     def handlers(self):
         """Returns the handlers for messages of the other process, by kind."""
@@ -44,6 +49,7 @@
             MessageKind.LIST: self._on_list,
             MessageKind.BAN: self._on_ban,
             MessageKind.EXCLUDED: self._on_excluded,
+            MessageKind.EXCLUSION_LEASE: self._on_exclusion_lease,
             MessageKind.RELOAD: lambda: self.reload(),
         }
 
@@ -137,6 +143,15 @@
         self.confirmations.end(change.endpoint_id)
         return None
 
+    def send_exclusion_lease(self, lease):
+        """Sends an `ExclusionLease` to each other process that does not have it yet."""
+        channels = self.hot_restart.current_channels
+        self._sent_leases = {channel: self._sent_leases.get(channel) for channel in channels}
+        for channel, sent_lease in self._sent_leases.items():
+            if lease != sent_lease and not channel.is_congested():
+                channel.send({"kind": MessageKind.EXCLUSION_LEASE, **lease._asdict()})
+                self._sent_leases[channel] = lease
+
     def send_confirmations(self, with_open_attempts):
         """Confirms the other process's exclusions; see `ExclusionConfirmations.take`."""
         if self.confirmations.to_confirm:
@@ -195,5 +210,10 @@
         elif not (operator or out):
             self.batch.enqueue(self.confirmations.excluded_no_more, name)
 
+    def _on_exclusion_lease(self, until, names, all_others):
+        if self.on_exclusion_lease:
+            lease = ExclusionLease(until, tuple(names), all_others)
+            self.batch.enqueue(self.on_exclusion_lease, lease)
+
     def _on_excluded(self, name, number, drained):
         self.batch.enqueue(self.confirmations.receive, Confirmation(name, number, drained))
--- a/grebedyke/testbed/hollow_node.py
+++ b/grebedyke/testbed/hollow_node.py
@@ -145,6 +145,8 @@
             set_ban=lambda now, name, is_banned, was_restarted=True: True,
             with_open_attempts=lambda names: [],
             unapplied=lambda names: [],
+            has_other_process=lambda: False,
+            send_exclusion_lease=lambda lease: None,
             listed_names=lambda: [row[0] for row in self._shared.endpoint_rows],
             banned_names=lambda: [],
         )
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -4,6 +4,7 @@
 
 from grebedyke.consensus.actions import LogEvent
 from grebedyke.consensus.consensus import Consensus
+from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.component import Maintenance
 from grebedyke.maintenance.exclusions import Exclusions
@@ -132,6 +133,20 @@
     assert acknowledged_revision(60, 20) == 19
 
 
+def test_exclusion_lease_ends_with_the_view_lease_and_names_all_that_may_be_taken_out():
+    consensus = SimpleNamespace(keys=[], listeners=[], members=[], is_voting=lambda: False, epoch=1)
+    component = Maintenance(consensus, "f", 0, 3, 1, make_settings())
+    assert component.exclusion_lease() == ExclusionLease(0, (), True)
+    machines = {
+        "e4": MachineStatus(MachineState.WAITING, 18, 0),
+        "e5": MachineStatus(MachineState.DONE, 20, 0),
+        "e6": MachineStatus(MachineState.FREE, 20, 0),
+    }
+    component.rollout = make_rollout(20, machines)
+    component.lease.certain_until = 500
+    assert component.exclusion_lease() == ExclusionLease(500, ("e4", "e6"), False)
+
+
 def test_acknowledgement_waits_for_another_process_of_the_node_beyond_the_drain_grace():
     """A hot restart: a process that stands still may send attempts when it goes on."""
     exclusions = Exclusions(DRAIN_GRACE)
--- a/tests/test_restart_bans.py
+++ b/tests/test_restart_bans.py
@@ -1,31 +1,49 @@
 """Bans by operators and by components of a fleet, in two processes of one node."""
 
-from types import SimpleNamespace
-
 import pytest
 from loguru import logger
 from node_files import LISTED_ROW
 from process_pair import DiscoveryLog, SteppedProcess, settle
+from socketless_node import NOW
 
 from grebedyke.consensus.actions import ExcludeEndpoints
-from grebedyke.service.endpoint_exclusions import EndpointExclusions
+from grebedyke.consensus.component import Component
+from grebedyke.consensus.exclusion_lease import ExclusionLease
+from grebedyke.service.component_host import ComponentHost
 from grebedyke.service.fleet_assembly import connect_batches, node_access
 
 NAMES = ("s-1", "s-2")
-NOTHING_EXCLUDED = ExcludeEndpoints(frozenset(), False)
+# Ticks of a lease.
+LEASE = 10_000
 
 
-class PlanEmulator:
-    """A component whose plan names both executors."""
+class PlanEmulator(Component):
+    """A component whose plan names both executors.
+
+    Attributes:
+        lease: Its `ExclusionLease`; None before the test sets one.
+    """
 
     controls_exclusions = True
 
-    @staticmethod
-    def possibly_excluded_endpoints():
-        return NAMES
+    def __init__(self):
+        super().__init__(0)
+        self.lease = None
 
+    def restore(self, now, stored_records):
+        pass
+
+    def receive(self, now, sender, message):
+        return False
+
+    def next_action(self, now):
+        return None
+
+    def possibly_excluded_endpoints(self):
+        return NAMES
 
-MAINTENANCE = PlanEmulator()
+    def exclusion_lease(self):
+        return self.lease
 
 
 def rows():
@@ -33,15 +51,13 @@
     return [{**LISTED_ROW, "name": name} for name in NAMES]
 
 
-# The component host of a process without the fleet's folder: it does nothing.
-IDLE_HOST = SimpleNamespace(next_action=lambda now: None, perform=None, expire=lambda now: None)
-
-
 class FleetProcess(SteppedProcess):
     """A process of a fleet node, whose maintenance is operated by the test.
 
     Attributes:
         access: Its `NodeAccess`.
+        maintenance: The `PlanEmulator`.
+        host: Its `ComponentHost`, which does not have the fleet's folder unless the test says so.
         exclusions: Its `EndpointExclusions`.
     """
 
@@ -49,8 +65,11 @@
         super().__init__(discovery, {"index": 1, "endpoints": rows()})
         parts = self.node.parts
         self.access = node_access(parts)
-        connect_batches(parts, IDLE_HOST)
-        self.exclusions = EndpointExclusions(self.access)
+        self.maintenance = PlanEmulator()
+        self.host = ComponentHost(None, self.batch, None, "f", [self.maintenance], self.access)
+        connect_batches(parts, self.host)
+        parts.process_messages.on_exclusion_lease = self.host.receive_exclusion_lease
+        self.exclusions = self.host.exclusions
         self.exclusions.pass_on = parts.process_messages.send_ban_change
         parts.host.endpoint_updates.exclusions = self.exclusions
         parts.admin_api.set_banned = self.exclusions.operator_ban
@@ -59,15 +78,20 @@
     def exclude(self, *names, restarted=()):
         """Lets maintenance exclude these endpoints, and no others."""
         exclusion = ExcludeEndpoints(frozenset(names), False, frozenset(restarted))
-        self.batch.enqueue(self.exclusions.request, MAINTENANCE, exclusion)
+        self.batch.enqueue(self.exclusions.request, self.maintenance, exclusion)
 
     def endpoint(self, name):
         """Returns an executor in the pool."""
         return self.node.parts.pool.endpoints[name]
 
+    def lease_timers(self):
+        """Returns the times at which the other process's lease may have to be ended, in ticks."""
+        expire = self.host.inherited_exclusions.expire
+        return [timer.when for timer in self.batch.timers if timer.call == expire]
+
     def take_folder(self):
         """Lets maintenance begin in this process, as the other one has ended."""
-        self.exclusions.classify_inherited_bans([MAINTENANCE])
+        self.exclusions.classify_inherited_bans([self.maintenance])
 
 
 @pytest.fixture
@@ -222,3 +246,69 @@
     assert timer.when == old.batch.clock() + parts.host.requests.settings.identifier_retention
     forget(timer.when, *timer.arguments)
     assert old.access.with_open_attempts(NAMES) == []
+
+
+def upgrade_with_lease(old):
+    """Returns a new process that has the old one's lease, at whose end s-1 must not be used."""
+    old.host.is_started = True
+    old.maintenance.lease = ExclusionLease(NOW + LEASE, ("s-1",), False)
+    return upgrade(old)
+
+
+# Guards against: the old process of an upgrade stood still, and the new one went on sending to a machine that
+# the fleet had taken out in the meantime.
+def test_new_process_excludes_more_when_the_old_one_does_not_renew_its_lease(old):
+    new = upgrade_with_lease(old)
+    new.host.expire(NOW + LEASE - 1)
+    assert new.states() == dict.fromkeys(NAMES, "healthy")
+    assert new.lease_timers() == [NOW + LEASE]
+    new.host.expire(NOW + LEASE)
+    assert new.states() == {"s-1": "banned", "s-2": "healthy"}
+    settle(new, old)
+    assert old.states() == dict.fromkeys(NAMES, "healthy")  # the old one decides for itself
+    # An operator's call has its usual effect, in both processes.
+    new.call_operator("s-1", False)
+    new.call_operator("s-2", True)
+    settle(new, old)
+    assert old.states() == {"s-1": "healthy", "s-2": "banned"}
+    assert new.states() == dict.fromkeys(NAMES, "banned")
+    new.call_operator("s-2", False)
+    # The old one goes on, and its lease is granted again.
+    old.maintenance.lease = old.maintenance.lease._replace(until=NOW + 2 * LEASE)
+    settle(new, old)
+    endpoints = new.node.parts.host.dispatcher.endpoints
+    assert (
+        new.states() == dict.fromkeys(NAMES, "healthy") and endpoints.warmth(endpoints.by_id["s-1"], NOW) == 1
+    )
+    assert new.lease_timers() == [NOW + 2 * LEASE]
+
+
+def test_exclusion_of_the_old_process_outlasts_the_end_of_its_lease(old):
+    new = upgrade_with_lease(old)
+    new.host.expire(NOW + LEASE)
+    old.exclude("s-1")
+    settle(old, new)
+    old.maintenance.lease = old.maintenance.lease._replace(until=NOW + 2 * LEASE)
+    old.batch.enqueue(lambda now: None)
+    settle(old, new)
+    assert new.states()["s-1"] == "banned"
+    old.exclude()
+    settle(old, new)
+    assert new.states()["s-1"] == "healthy"
+
+
+def test_lease_of_the_old_process_ends_with_the_folder(old):
+    new = upgrade_with_lease(old)
+    new.host.expire(NOW + LEASE)
+    new.take_folder()
+    new.host.inherited_exclusions.end()
+    new.host.inherited_exclusions.expire(NOW + LEASE)
+    new.exclude()
+    settle(new)
+    assert new.states()["s-1"] == "healthy"
+
+
+def test_process_without_a_view_lease_lets_the_other_one_use_no_endpoint(old):
+    old.host.is_started = True
+    old.maintenance.lease = ExclusionLease(0, (), True)
+    assert upgrade(old).states() == dict.fromkeys(NAMES, "banned")
