--- a/tests/process_pair.py
+++ b/tests/process_pair.py
@@ -95,10 +95,10 @@
         channels: Its ends of channels, the predecessor's first.
     """
 
-    def __init__(self, discovery, known):
+    def __init__(self, discovery, known, discovery_address=DISCOVERY_ADDRESS):
         self.discovery = discovery
         configuration = checked_configuration(
-            node_file(known=known, settings=SETTINGS, listen=ADDRESS, discovery=DISCOVERY_ADDRESS)
+            node_file(known=known, settings=SETTINGS, listen=ADDRESS, discovery=discovery_address)
         )
         self.node = assemble(PassedLoop(), configuration, lambda: configuration, clock=lambda: NOW)
         parts = self.node.parts
--- a/tests/test_restart_orders.py
+++ b/tests/test_restart_orders.py
@@ -5,9 +5,10 @@
 import pytest
 from loguru import logger
 from node_files import LISTED_ROW
-from process_pair import DiscoveryLog, SteppedProcess, settle
+from process_pair import DISCOVERY_ADDRESS, DiscoveryLog, SteppedProcess, settle
 
 NAMES = ("s-1", "s-2", "s-3", "s-4")
+OTHER_DISCOVERY = "127.0.0.1:3"
 # "s-4" is banned at first.
 EXPECTED_AT_FIRST = {"s-1": "healthy", "s-2": "healthy", "s-3": "healthy", "s-4": "banned"}
 
@@ -35,14 +36,14 @@
         expected: The states that an undisturbed process would have.
     """
 
-    def __init__(self):
+    def __init__(self, new_address=DISCOVERY_ADDRESS):
         self.discovery = DiscoveryLog(*map(row, NAMES))
         known = {"index": 1, "endpoints": [*map(row, NAMES)]}
         self.old = SteppedProcess(self.discovery, known)
         self.old.call_operator("s-4", True)
         self.old.run_batch()
         # The new process's file is older than the list.
-        self.new = SteppedProcess(self.discovery, {"index": 1, "endpoints": []})
+        self.new = SteppedProcess(self.discovery, {"index": 1, "endpoints": []}, new_address)
         self.new.run_batch()
         self.new.connect_to(self.old)
         self.expected = {**EXPECTED_AT_FIRST}
@@ -67,6 +68,15 @@
         self.old.read_discovery()
         self.expected["s-5"] = "healthy"
 
+    def discovery_moves(self):
+        host, _, port = OTHER_DISCOVERY.rpartition(":")
+        self.old.node.parts.discovery.set_address(host, int(port))
+
+    def discovery_elsewhere(self):
+        """Returns another discovery's log of the same list; its versions are lower."""
+        rows = {row["name"]: row for _, row in self.discovery.changes}
+        return DiscoveryLog(*rows.values())
+
     def ban_is_read(self):
         self.old.call_operator("s-3", True)
         self.expected["s-3"] = "banned"
@@ -129,6 +139,28 @@
     assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
 
 
+# Guards against: a version of one discovery that stands for the list of another, as the address has changed
+# while rows of the first one wait.
+def test_new_process_knows_all_although_discovery_moves_beside_its_start():
+    wrong = {}
+    steps = (Restart.drain_is_read, Restart.hello_is_read, Restart.discovery_moves, Restart.ban_is_read)
+    for order in permutations(steps):
+        for batches in product((False, True), repeat=len(steps)):
+            restart = Restart(OTHER_DISCOVERY)
+            for step, runs_batch in zip(order, batches, strict=True):
+                step(restart)
+                if runs_batch:
+                    restart.old.run_batch()
+            settle(restart.old, restart.new)
+            for process in (restart.old, restart.new):
+                process.discovery = restart.discovery_elsewhere()
+                process.read_discovery()
+            settle(restart.old, restart.new)
+            if not restart.old.states() == restart.new.states() == restart.expected:
+                wrong[text_of(zip(order, batches, strict=True))] = restart.old.states(), restart.new.states()
+    assert not wrong, f"{len(wrong)} orders, the first: {next(iter(wrong.items()))}"
+
+
 # Guards against: a process that is replaced before it has applied the inherited state passed on less than it
 # vouched for.
 def test_third_process_knows_what_the_second_one_has_not_applied_yet():
