--- a/grebedyke/consensus/component.py
+++ b/grebedyke/consensus/component.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from grebedyke.consensus.actions import Action, AnswerCall, ExcludeEndpoints, LogEvent, SendMessage, WakeAt
-from grebedyke.consensus.exclusion_lease import ExclusionLease
+from grebedyke.model.exclusion_lease import ExclusionLease
 from grebedyke.units import TICKS_PER_MILLISECOND
 
 MIN_WAKE_DELAY = TICKS_PER_MILLISECOND
--- a/grebedyke/maintenance/component.py
+++ b/grebedyke/maintenance/component.py
@@ -3,7 +3,6 @@
 from functools import partial
 
 from grebedyke.consensus.component import Component
-from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.errors import ConfigurationError
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.driver import Driver
@@ -26,6 +25,7 @@
 from grebedyke.maintenance.rollout import CONSENSUS_KEY, Rollout
 from grebedyke.maintenance.view_lease import LOST, ViewLease
 from grebedyke.maintenance.view_record import NOTHING_PERSISTED, RECORD_FILE, ViewRecord
+from grebedyke.model.exclusion_lease import ExclusionLease
 
 
 class Maintenance(Component):
--- a/grebedyke/service/component_host.py
+++ b/grebedyke/service/component_host.py
@@ -13,8 +13,8 @@
 
 from grebedyke.consensus import actions, framing
 from grebedyke.consensus.component import Component
-from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.errors import ConfigurationError, ForeignRecordError
+from grebedyke.model.exclusion_lease import ExclusionLease
 from grebedyke.service.endpoint_exclusions import EndpointExclusions
 from grebedyke.service.inherited_exclusions import InheritedExclusions
 from grebedyke.units import TICKS_PER_SECOND
--- a/grebedyke/service/process_messages.py
+++ b/grebedyke/service/process_messages.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from grebedyke.consensus.exclusion_lease import ExclusionLease
+from grebedyke.model.exclusion_lease import ExclusionLease
 from grebedyke.service.ban_change import BanChange
 from grebedyke.service.exclusion_confirmations import Confirmation, ExclusionConfirmations
 from grebedyke.service.message_kinds import MessageKind
--- a/tests/test_maintenance.py
+++ b/tests/test_maintenance.py
@@ -4,7 +4,6 @@
 
 from grebedyke.consensus.actions import LogEvent
 from grebedyke.consensus.consensus import Consensus
-from grebedyke.consensus.exclusion_lease import ExclusionLease
 from grebedyke.maintenance import commands
 from grebedyke.maintenance.component import Maintenance
 from grebedyke.maintenance.exclusions import Exclusions
@@ -12,6 +11,7 @@
 from grebedyke.maintenance.plan import LatePolicy, Plan, ReturnSignal
 from grebedyke.maintenance.rollout import MachineState, MachineStatus, Rollout, RolloutPhase
 from grebedyke.maintenance.settings import MaintenanceSettings
+from grebedyke.model.exclusion_lease import ExclusionLease
 from grebedyke.model.seeded_random import SeededRandom
 from grebedyke.testbed import broken_builds
 
--- a/tests/test_restart_bans.py
+++ b/tests/test_restart_bans.py
@@ -8,7 +8,7 @@
 
 from grebedyke.consensus.actions import ExcludeEndpoints
 from grebedyke.consensus.component import Component
-from grebedyke.consensus.exclusion_lease import ExclusionLease
+from grebedyke.model.exclusion_lease import ExclusionLease
 from grebedyke.service.component_host import ComponentHost
 from grebedyke.service.fleet_assembly import connect_batches, node_access
 
